--- /dev/null
+++ b/Makefile
@@ -0,0 +1,121 @@
+# Targets: all, demo, check, bench, lint, format, install, clean, proto.
+# Sources are found by folder: a new file in a package needs no edit here.
+
+CC ?= cc
+BUILD ?= build
+PREFIX ?= /usr/local
+DESTDIR ?=
+SAN ?=
+DEPS := libuv jansson libprotobuf-c libxxhash popt openssl
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wpointer-arith
+PKGS := base wire config state policy ports daemon cli
+
+ifneq ($(SAN),)
+SANFLAGS := -fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer
+endif
+
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Iinclude \
+	$(addprefix -Ipackages/,$(PKGS)) -Istandins -Itests
+CFLAGS += -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -MMD -MP
+LDFLAGS += $(SANFLAGS)
+LIBS = -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljansson -lxxhash -lpopt -lm -lpthread
+
+src = $(wildcard packages/$(1)/*.c)
+obj = $(patsubst %.c,$(BUILD)/%.o,$(call src,$(1)))
+
+LIB_OBJS := $(foreach p,base config state policy,$(call obj,$(p)))
+NODE_OBJS := $(foreach p,wire ports,$(call obj,$(p)))
+DAEMON_OBJS := $(filter-out %/main.o,$(call obj,daemon))
+CLI_OBJS := $(filter-out %/main.o,$(call obj,cli))
+
+LIB := $(BUILD)/libcuminwalk.a
+NODELIB := $(BUILD)/libcwnode.a
+STANDINS := $(patsubst standins/%_main.c,$(BUILD)/standin-%,$(wildcard standins/*_main.c))
+STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard standins/*.c)))
+TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
+TEST_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/test_%,$(wildcard tests/*.c)))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
+BENCH_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(filter-out bench/bench_%,$(wildcard bench/*.c)))
+EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
+BINS := $(if $(wildcard packages/daemon/main.c),$(BUILD)/cuminwalkd) \
+	$(if $(wildcard packages/cli/main.c),$(BUILD)/cuminwalk)
+
+all: $(LIB) $(NODELIB) $(BINS) $(STANDINS) $(TESTS) $(BENCHES) $(EXAMPLES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+
+# Generated protobuf-c code is not held to the warnings of our own code.
+$(BUILD)/packages/wire/%.pb-c.o: WARN :=
+
+$(LIB): $(LIB_OBJS)
+	rm -f $@ && ar rcs $@ $^
+
+$(NODELIB): $(NODE_OBJS) $(DAEMON_OBJS) $(CLI_OBJS)
+	rm -f $@ && ar rcs $@ $^
+
+$(BUILD)/cuminwalkd: $(BUILD)/packages/daemon/main.o $(NODELIB) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/cuminwalk: $(BUILD)/packages/cli/main.o $(NODELIB) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-%: $(BUILD)/standins/%_main.o $(STANDIN_OBJS) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/test_%: $(BUILD)/tests/test_%.o $(TEST_OBJS) $(NODELIB) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcmocka
+
+$(BUILD)/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJS) $(NODELIB) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/example-%: $(BUILD)/examples/%.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -ljansson -lxxhash -lm
+
+proto:
+	cd packages/wire && protoc-c --c_out=. cw_wire.proto
+
+deps:
+	@./scripts/install-deps
+
+demo: deps
+	@$(MAKE) --no-print-directory -s all
+	@./scripts/demo
+
+check: deps
+	@$(MAKE) --no-print-directory -s all
+	@BUILD=$(BUILD) ./scripts/run-tests
+
+bench: deps
+	@$(MAKE) --no-print-directory -s all >&2
+	@BUILD=$(BUILD) ./scripts/run-bench
+
+lint: deps
+	@./scripts/lint
+
+format:
+	clang-format -i $$(./scripts/list-sources)
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+		$(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(BINS) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 include/cuminwalk.h $(DESTDIR)$(PREFIX)/include
+	sed 's|@PREFIX@|$(PREFIX)|' cuminwalk.pc.in \
+		> $(DESTDIR)$(PREFIX)/lib/pkgconfig/cuminwalk.pc
+	for m in $(wildcard man/*.1); do \
+		install -m 644 $$m $(DESTDIR)$(PREFIX)/share/man/man1; done
+	for m in $(wildcard man/*.8); do \
+		install -m 644 $$m $(DESTDIR)$(PREFIX)/share/man/man8; done
+
+clean:
+	rm -rf build build-san
+
+.PHONY: all proto deps demo check bench lint format install clean
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/cuminwalk.h
@@ -0,0 +1,728 @@
+/* Public interface of libcuminwalk: documents, replicated state and decision
+ * modules of a fleet capacity and maintenance manager.
+ *
+ * Conventions:
+ * - Times are cw_ms, milliseconds. Monotonic unless a name says wall.
+ * - cw_x_init prepares memory that the caller owns; cw_x_finish releases what
+ *   the module allocated inside it. Passing zeroed memory to finish is
+ * allowed.
+ * - Functions that can fail return enum cw_status; structures with a msg field
+ *   keep one line about the last failure there.
+ * - No function reads a clock, does I/O or uses global state, the logger
+ *   excepted.
+ */
+#ifndef CUMINWALK_H
+#define CUMINWALK_H
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CW_VERSION "0.1.0"
+
+/* ===================================================================== */
+/* base: status                                                          */
+/* ===================================================================== */
+
+enum cw_status {
+    CW_OK = 0,
+    CW_ERR_NOMEM,       /* allocation failed */
+    CW_ERR_INVALID,     /* input is malformed or out of range */
+    CW_ERR_LIMIT,       /* a bound of size, count or rate is reached */
+    CW_ERR_CONFLICT,    /* based on a version that is no longer current */
+    CW_ERR_FENCED,      /* the writer no longer holds the scope */
+    CW_ERR_NOT_FOUND,   /* no such entry */
+    CW_ERR_UNAVAILABLE, /* the other side is away; nothing took effect */
+    CW_ERR_TIMEOUT,     /* the deadline passed before anything was sent */
+    CW_ERR_UNKNOWN,     /* sent, no answer: may or may not have taken effect */
+    CW_ERR_IO,          /* local I/O failed */
+};
+
+#define CW_MSG_MAX 256 /* bytes of a msg field, with the final NUL */
+
+/* Returns a constant lower-case word for a status, for logs and JSON. */
+const char *cw_status_name(enum cw_status s);
+
+/* Writes a formatted message into a msg field of CW_MSG_MAX bytes and returns
+ * s, so that a caller can end with: return cw_fail(x->msg, s, "..."). */
+enum cw_status cw_fail(char *msg, enum cw_status s, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+/* Stops the process after one log line when an internal invariant is broken.
+ * Never used for input, I/O or resource errors. */
+#define CW_INVARIANT(cond)                                                    \
+    do {                                                                      \
+        if (!(cond)) {                                                        \
+            cw_invariant_failed(#cond, __FILE__, __LINE__);                   \
+        }                                                                     \
+    } while (0)
+void cw_invariant_failed(const char *cond, const char *file, int line)
+    __attribute__((noreturn));
+
+/* ===================================================================== */
+/* base: clock                                                           */
+/* ===================================================================== */
+
+typedef int64_t cw_ms;
+
+#define CW_SECOND ((cw_ms)1000)
+#define CW_MINUTE (60 * CW_SECOND)
+#define CW_HOUR (60 * CW_MINUTE)
+#define CW_DAY (24 * CW_HOUR)
+
+/* A source of time. now is monotonic, wall counts from 1970-01-01 UTC. */
+struct cw_clock {
+    cw_ms (*now)(void *ctx);
+    cw_ms (*wall)(void *ctx);
+    void *ctx;
+};
+
+/* The system's clock. */
+struct cw_clock cw_clock_system(void);
+
+/* A clock that a test or a bench steps by hand. */
+struct cw_clock_manual {
+    cw_ms now;
+    cw_ms wall;
+};
+struct cw_clock cw_clock_manual(struct cw_clock_manual *m);
+
+/* Formats wall time as 2026-12-04T05:14:00.123Z; buf holds 25 bytes. */
+void cw_time_format(cw_ms wall, char buf[static 25]);
+
+/* Parses YYYY-MM-DD or YYYY-MM-DDTHH:MM[:SS[.mmm]][Z] as UTC into wall ms.
+ * Returns CW_ERR_INVALID and leaves *out alone when text is none of these. */
+enum cw_status cw_time_parse(const char *text, cw_ms *out);
+
+/* ===================================================================== */
+/* base: strings                                                         */
+/* ===================================================================== */
+
+/* A view of bytes that somebody else owns; not NUL-terminated. */
+struct cw_str {
+    const char *ptr;
+    size_t len;
+};
+
+#define CW_LIT(s) ((struct cw_str){(s), sizeof(s) - 1})
+/* Arguments for a "%.*s" conversion. */
+#define CW_FMT(s) (int)(s).len, (s).ptr
+
+struct cw_str cw_str_from(const char *z); /* NULL gives an empty string */
+bool cw_str_eq(struct cw_str a, struct cw_str b);
+bool cw_str_eq_nocase(struct cw_str a, struct cw_str b);
+bool cw_str_starts(struct cw_str s, struct cw_str prefix);
+int cw_str_cmp(struct cw_str a, struct cw_str b);
+/* Parses decimal digits only; false on anything else or on overflow. */
+bool cw_str_to_u64(struct cw_str s, uint64_t *out);
+
+#define CW_NAME_MAX 63 /* bytes of a name of a service, pool, VM or daemon */
+
+/* A short length-counted string held in place; text is NUL-terminated. */
+struct cw_name {
+    uint8_t len;
+    char text[CW_NAME_MAX + 1];
+};
+
+/* Copies s; CW_ERR_LIMIT when it is longer than CW_NAME_MAX. */
+enum cw_status cw_name_set(struct cw_name *n, struct cw_str s);
+struct cw_str cw_name_str(const struct cw_name *n);
+bool cw_name_eq(const struct cw_name *a, const struct cw_name *b);
+/* True for 1 to CW_NAME_MAX bytes of a-z, A-Z, 0-9, '.', '_', '-', starting
+ * with a letter or digit. */
+bool cw_name_valid(struct cw_str s);
+
+/* A growing byte buffer. A failed allocation sets failed and later calls do
+ * nothing, so that a caller checks once at the end. */
+struct cw_buf {
+    char *ptr;
+    size_t len;
+    size_t cap;
+    bool failed;
+};
+
+void cw_buf_init(struct cw_buf *b);
+void cw_buf_finish(struct cw_buf *b);
+void cw_buf_clear(struct cw_buf *b);
+void cw_buf_add(struct cw_buf *b, const void *ptr, size_t len);
+void cw_buf_add_str(struct cw_buf *b, struct cw_str s);
+void cw_buf_addf(struct cw_buf *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+/* Adds s with the escapes that JSON wants, with the quotes. */
+void cw_buf_add_json(struct cw_buf *b, struct cw_str s);
+struct cw_str cw_buf_str(const struct cw_buf *b);
+
+/* ===================================================================== */
+/* base: hashing and random numbers                                      */
+/* ===================================================================== */
+
+/* XXH64 of s under seed; the same on every machine. */
+uint64_t cw_hash(struct cw_str s, uint64_t seed);
+/* Mixes two 64-bit values into one. */
+uint64_t cw_hash_mix(uint64_t a, uint64_t b);
+
+/* A seeded generator (xoshiro256**); the same sequence for the same seed. */
+struct cw_rng {
+    uint64_t s[4];
+};
+void cw_rng_init(struct cw_rng *r, uint64_t seed);
+uint64_t cw_rng_next(struct cw_rng *r);
+/* Uniform in [0, n); n > 0. */
+uint64_t cw_rng_below(struct cw_rng *r, uint64_t n);
+/* Uniform in [0, 1). */
+double cw_rng_unit(struct cw_rng *r);
+/* Exponentially distributed with the given mean. */
+double cw_rng_exp(struct cw_rng *r, double mean);
+
+/* ===================================================================== */
+/* base: logger                                                          */
+/* ===================================================================== */
+
+enum cw_level { CW_DEBUG, CW_INFO, CW_WARN, CW_ERROR };
+
+/* Sets the lowest level written, the stream (default stderr) and a constant
+ * daemon name that each line carries; name may be NULL. */
+void cw_logger_setup(enum cw_level lowest, FILE *out, const char *name);
+/* Returns false when text is not debug, info, warn or error. */
+bool cw_level_parse(const char *text, enum cw_level *out);
+
+/* Writes one line: time, level, daemon, event=<event>, then key=value pairs in
+ * fmt. Use cw_quoted for values that may hold spaces. */
+void cw_log(enum cw_level level, const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#define CW_QUOTED_MAX 512
+/* Writes s with quotes and escapes into buf, cut at CW_QUOTED_MAX bytes, and
+ * returns buf. */
+const char *cw_quoted(char buf[static CW_QUOTED_MAX], struct cw_str s);
+
+/* ===================================================================== */
+/* base: histograms and metrics                                          */
+/* ===================================================================== */
+
+#define CW_HIST_BUCKETS 320
+
+/* Counts of values 0 .. 2^40 in logarithmic buckets, 8 for each power of two,
+ * so that a quantile is at most 12.5% above the true value. */
+struct cw_hist {
+    uint64_t count;
+    uint64_t sum;
+    uint64_t max;
+    uint32_t buckets[CW_HIST_BUCKETS];
+};
+
+void cw_hist_init(struct cw_hist *h);
+void cw_hist_record(struct cw_hist *h, uint64_t value);
+void cw_hist_merge(struct cw_hist *into, const struct cw_hist *from);
+/* The upper bound of the bucket that holds quantile q in [0, 1]; 0 if empty.
+ */
+uint64_t cw_hist_quantile(const struct cw_hist *h, double q);
+double cw_hist_mean(const struct cw_hist *h);
+
+/* A registry of named counters, gauges and histograms. A series is identified
+ * by its metric name and one label string such as service="stock". */
+struct cw_metrics {
+    struct cw_metric *items;
+    size_t count;
+    size_t cap;
+};
+
+void cw_metrics_init(struct cw_metrics *m);
+void cw_metrics_finish(struct cw_metrics *m);
+/* Return the value to update, made on first use; the pointer stays valid until
+ * cw_metrics_finish. NULL when memory is short. labels may be "". */
+uint64_t *cw_metrics_counter(struct cw_metrics *m, const char *name,
+                             const char *labels);
+double *cw_metrics_gauge(struct cw_metrics *m, const char *name,
+                         const char *labels);
+struct cw_hist *cw_metrics_hist(struct cw_metrics *m, const char *name,
+                                const char *labels);
+/* Adds all series in the usual text exposition format; histograms as the
+ * quantiles 0.5, 0.9, 0.99 with _count and _sum. */
+void cw_metrics_print(const struct cw_metrics *m, struct cw_buf *out);
+
+/* ===================================================================== */
+/* config: service documents                                             */
+/* ===================================================================== */
+
+/* One fault found in a document or a settings file. */
+struct cw_fault {
+    char path[128]; /* place in the JSON text, e.g. "capacity.vms_max" */
+    char text[192]; /* what is wrong, the limit, and what to write instead */
+};
+
+#define CW_FAULTS_MAX 64 /* faults reported for one text; more are cut */
+
+/* Faults of one text. */
+struct cw_faults {
+    size_t count;
+    struct cw_fault items[CW_FAULTS_MAX];
+};
+
+/* Adds a fault; ignored when the list is full. */
+void cw_faults_add(struct cw_faults *f, const char *path, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+/* A weekly time window in which VMs may be taken for maintenance. */
+struct cw_window {
+    uint8_t days;           /* bit 0 = Monday .. bit 6 = Sunday */
+    uint16_t from_min;      /* minutes after local midnight, 0 .. 1439 */
+    uint16_t to_min;        /* end, 1 .. 1440; below from_min: next day */
+    int16_t utc_offset_min; /* local time minus UTC, -840 .. 840 */
+};
+
+/* A method and path prefix that may be sent again without harm. */
+struct cw_idempotent {
+    struct cw_name method; /* upper case, or "*" for every method */
+    char *prefix;          /* NUL-terminated path prefix, begins with '/' */
+};
+
+/* Jobs of one kind that a document asks for. */
+struct cw_job {
+    struct cw_name name;
+    struct cw_name job_class; /* jobs of a class use alike; default: name */
+    uint32_t count;           /* tasks that have to run to their end */
+    uint32_t cpu_milli;       /* declared, thousandths of a processor */
+    uint32_t memory_mb;       /* declared */
+    uint32_t accelerators;    /* whole devices */
+    cw_ms run_ms;             /* declared run time */
+    bool urgent;              /* starts within 9.8 s */
+};
+
+/* What to do with a keyed request while the log is unavailable. */
+enum cw_outage { CW_OUTAGE_REFUSE, CW_OUTAGE_RUN };
+
+/* A parsed and valid service document. */
+struct cw_doc {
+    struct cw_name service;
+    struct cw_name team;
+    struct cw_name pool; /* default: the service's name */
+    bool spare_pool;     /* the pool lends its VMs to other pools */
+    uint32_t vms_min;
+    uint32_t vms_max;
+    uint32_t slots;          /* concurrent requests per VM, default 8 */
+    uint32_t connections;    /* connections per VM, default 64 */
+    double target;           /* availability, 0 < target < 1 */
+    cw_ms window_ms;         /* availability window, default 28 days */
+    uint32_t priority;       /* 0 (lowest) .. 9 */
+    cw_ms deadline_ms;       /* longest time for a request, default 10 s */
+    cw_ms drain_ms;          /* upper bound of a drain, default 60 s */
+    cw_ms maintain_every_ms; /* each VM once in this time, default 14 d */
+    enum cw_outage outage;
+    uint32_t quota_cpu_milli; /* of the team's jobs; 0 = no jobs */
+    uint32_t quota_memory_mb;
+    uint32_t quota_accelerators;
+    size_t window_count;
+    struct cw_window *windows;
+    size_t idempotent_count;
+    struct cw_idempotent *idempotents;
+    size_t job_count;
+    struct cw_job *jobs;
+};
+
+#define CW_DOC_MAX (64 * 1024) /* bytes of one document's JSON text */
+
+/* Parses and validates a document. On CW_OK the caller owns *doc and releases
+ * it with cw_doc_finish; on CW_ERR_INVALID *faults lists every fault found and
+ * *doc is empty. faults may be NULL. */
+enum cw_status cw_doc_parse(struct cw_doc *doc, struct cw_str json,
+                            struct cw_faults *faults);
+void cw_doc_finish(struct cw_doc *doc);
+/* True when the method and path may be sent again: GET, HEAD and OPTIONS
+ * always, others as the document declares. */
+bool cw_doc_idempotent(const struct cw_doc *doc, struct cw_str method,
+                       struct cw_str path);
+/* True when wall lies in one of the maintenance windows; a document without
+ * windows allows maintenance at any time. */
+bool cw_doc_window_open(const struct cw_doc *doc, cw_ms wall);
+
+/* ===================================================================== */
+/* config: daemon settings                                               */
+/* ===================================================================== */
+
+/* Another daemon that this one may meet before the log names it. */
+struct cw_peer_setting {
+    struct cw_name daemon;
+    struct cw_name address; /* ip:port of its peer listener */
+};
+
+/* A daemon's settings, from one JSON file. Addresses are ip:port with IP
+ * numbers only. */
+struct cw_settings {
+    struct cw_name daemon;
+    struct cw_name dc;
+    struct cw_name listen;       /* callers */
+    struct cw_name peer_listen;  /* other daemons */
+    struct cw_name admin_listen; /* metrics and health, default loopback */
+    struct cw_name platform;     /* log, VM list, pool and worker control */
+    size_t peer_count;
+    struct cw_peer_setting *peers;
+    enum cw_level log_level;
+    cw_ms heartbeat_ms;    /* default 1000 */
+    cw_ms silent_ms;       /* lapse and confirmation limit, default 3000 */
+    cw_ms slot_guard_ms;   /* wait before a gained slot, default 4000 */
+    cw_ms probe_ms;        /* endpoint probe, default 1000 */
+    cw_ms stat_ms;         /* between stat records, default 60000 */
+    cw_ms drain_ms;        /* longest graceful stop, default 60000 */
+    uint32_t key_streams;  /* 1 .. 16, default 1 */
+    cw_ms key_window_ms;   /* default 600000 */
+    uint32_t cells;        /* placement cells, default 1 */
+    uint32_t spare_bursts; /* services that can burst at once, default 1 */
+    double weight_buffer;  /* weights of the three measures, sum > 0 */
+    double weight_rollout;
+    double weight_moves;
+    uint64_t seed; /* of random choices; 0 = from the clock */
+};
+
+/* Parses and validates settings; unknown keys are faults. The caller releases
+ * *s with cw_settings_finish after CW_OK. */
+enum cw_status cw_settings_parse(struct cw_settings *s, struct cw_str json,
+                                 struct cw_faults *faults);
+void cw_settings_finish(struct cw_settings *s);
+
+/* ===================================================================== */
+/* state: log records                                                    */
+/* ===================================================================== */
+
+enum cw_record_type {
+    CW_REC_DOC,
+    CW_REC_MEMBER,
+    CW_REC_VM,
+    CW_REC_OP,
+    CW_REC_WAVE,
+    CW_REC_STAT,
+    CW_REC_SNAP,
+};
+
+enum cw_member_action { CW_MEMBER_JOIN, CW_MEMBER_LEAVE, CW_MEMBER_LAPSE };
+enum cw_op_kind { CW_OP_MAINTAIN, CW_OP_MOVE };
+enum cw_op_step {
+    CW_STEP_DRAINING,
+    CW_STEP_DRAINED,
+    CW_STEP_REBOOTING, /* maintain only */
+    CW_STEP_ASSIGNING, /* move only; the VM changes its pool here */
+    CW_STEP_RETURNING,
+    CW_STEP_DONE,
+    CW_STEP_CANCELLED,
+    CW_STEP_FAILED,
+};
+#define CW_STEP_COUNT 8
+enum cw_wave_action {
+    CW_WAVE_OPEN,
+    CW_WAVE_HOLD,
+    CW_WAVE_RESUME,
+    CW_WAVE_CLOSE,
+};
+
+/* A document edit. json is the document's text as it was written. */
+struct cw_rec_doc {
+    struct cw_name service;
+    uint64_t base; /* version the edit is based on, 0 for a new document */
+    struct cw_str json;
+};
+
+struct cw_rec_member {
+    struct cw_name daemon;
+    uint64_t incarnation;
+    enum cw_member_action action;
+    struct cw_name dc;
+    struct cw_name address; /* peer listener */
+};
+
+struct cw_rec_vm {
+    struct cw_name vm;
+    uint64_t incarnation;
+    struct cw_name pool;
+    struct cw_name dc;
+    struct cw_name rack;
+    struct cw_name address; /* endpoint, ip:port */
+};
+
+struct cw_rec_op {
+    struct cw_name op;
+    enum cw_op_kind kind;
+    struct cw_name scope; /* pool/<name> */
+    struct cw_name vm;
+    struct cw_name from;
+    struct cw_name to;   /* same as from for maintain */
+    struct cw_name wave; /* empty for none */
+    char cause[96];
+    char result[96]; /* set on done, cancelled, failed */
+    uint64_t doc_version;
+    enum cw_op_step step;
+};
+
+struct cw_rec_wave {
+    struct cw_name wave;
+    struct cw_name scope;
+    enum cw_wave_action action;
+    char reason[96];
+};
+
+/* Counts of one service on one daemon between two wall times. */
+struct cw_stat_service {
+    struct cw_name service;
+    uint64_t ok;
+    uint64_t failed;
+    uint64_t shed; /* refused as not run for lack of capacity */
+    uint64_t unknown;
+    uint64_t p50_us;
+    uint64_t p99_us;
+    uint64_t idle_slot_ms; /* slots held and free, summed over time */
+    uint64_t busy_slot_ms;
+};
+
+struct cw_rec_stat {
+    struct cw_name daemon;
+    cw_ms from; /* wall */
+    cw_ms to;
+    size_t count;
+    struct cw_stat_service *services;
+};
+
+struct cw_rec_snap {
+    struct cw_name cycle;
+    uint64_t as_of;
+    uint32_t part; /* 1 .. parts */
+    uint32_t parts;
+    struct cw_str items; /* JSON text of an array of state items */
+};
+
+/* One record of the stream config. Views point into memory that the record
+ * owns; release with cw_record_finish. */
+struct cw_record {
+    enum cw_record_type type;
+    struct cw_name id;
+    struct cw_name by;
+    cw_ms time; /* wall, as the writer saw it */
+    union {
+        struct cw_rec_doc doc;
+        struct cw_rec_member member;
+        struct cw_rec_vm vm;
+        struct cw_rec_op op;
+        struct cw_rec_wave wave;
+        struct cw_rec_stat stat;
+        struct cw_rec_snap snap;
+    } u;
+    void *owned; /* private memory of a parsed record */
+};
+
+/* Parses one JSON object. msg (CW_MSG_MAX bytes) names the field at fault. */
+enum cw_status cw_record_parse(struct cw_record *r, struct cw_str json,
+                               char *msg);
+void cw_record_finish(struct cw_record *r);
+/* Adds the record as one JSON object to out. */
+enum cw_status cw_record_print(const struct cw_record *r, struct cw_buf *out);
+
+const char *cw_op_step_name(enum cw_op_step s);
+const char *cw_op_kind_name(enum cw_op_kind k);
+const char *cw_wave_action_name(enum cw_wave_action a);
+
+/* ===================================================================== */
+/* state: replicated state, commands                                     */
+/* ===================================================================== */
+
+/* A document in force and how it came to be. */
+struct cw_doc_entry {
+    struct cw_doc doc;
+    char *json;
+    size_t json_len;
+    uint64_t version; /* offset of its record */
+    struct cw_name by;
+    cw_ms time; /* wall */
+};
+
+/* An edit that was asked for, accepted or not. */
+struct cw_edit_entry {
+    struct cw_name id;
+    struct cw_name service;
+    struct cw_name by;
+    cw_ms time;
+    uint64_t offset;
+    uint64_t base;
+    uint64_t current; /* version in force when it was judged */
+    bool accepted;
+    char reason[96]; /* why it was refused */
+};
+
+struct cw_member_entry {
+    struct cw_name daemon;
+    uint64_t incarnation;
+    struct cw_name dc;
+    struct cw_name address;
+    uint64_t offset; /* of the join record */
+};
+
+struct cw_vm_entry {
+    struct cw_name vm;
+    uint64_t incarnation;
+    struct cw_name pool;
+    struct cw_name dc;
+    struct cw_name rack;
+    struct cw_name address;
+    uint64_t offset;   /* of the last record that changed it */
+    cw_ms maintained;  /* wall time of the last finished maintenance */
+    struct cw_name op; /* open operation, empty for none */
+};
+
+/* A VM operation with the time of each step; kept after its end. */
+struct cw_op_entry {
+    struct cw_rec_op rec; /* with the last step and result */
+    uint64_t first_offset;
+    uint64_t last_offset;
+    struct cw_name by;              /* writer of the last step */
+    cw_ms step_time[CW_STEP_COUNT]; /* wall, 0 for a step not taken */
+    bool open;
+};
+
+struct cw_wave_entry {
+    struct cw_name wave;
+    struct cw_name scope;
+    enum cw_wave_action last; /* OPEN or RESUME: running */
+    char reason[96];
+    cw_ms opened;  /* wall */
+    cw_ms changed; /* wall time of the last action */
+    cw_ms closed;  /* 0 while open */
+    cw_ms held_ms; /* total time on hold */
+    uint32_t done; /* operations of the wave that ended well */
+    uint32_t failed;
+};
+
+enum cw_apply {
+    CW_APPLY_OK,
+    CW_APPLY_DUPLICATE, /* a record id seen before, or offset already passed */
+    CW_APPLY_REJECTED,  /* valid record without effect: state.msg says why */
+};
+
+/* The replicated state that replay of the stream config builds. All replicas
+ * that applied the same records are equal. Fields may be read; only the
+ * functions below change them. */
+struct cw_state {
+    uint64_t applied;      /* offset of the last record applied */
+    uint64_t member_epoch; /* offset of the last membership change */
+    uint64_t version;      /* grows with each change, for caches */
+    size_t doc_count;
+    struct cw_doc_entry **docs; /* sorted by service */
+    size_t member_count;
+    struct cw_member_entry *members; /* sorted by daemon */
+    size_t vm_count;
+    struct cw_vm_entry **vms; /* sorted by VM */
+    size_t op_count;
+    struct cw_op_entry **ops; /* oldest first, open and kept */
+    size_t wave_count;
+    struct cw_wave_entry **waves; /* oldest first */
+    size_t edit_count;
+    struct cw_edit_entry **edits; /* oldest first */
+    size_t stat_count;
+    struct cw_rec_stat **stats;   /* oldest first */
+    struct cw_state_index *index; /* private */
+    char msg[CW_MSG_MAX];
+};
+
+void cw_state_init(struct cw_state *s);
+void cw_state_finish(struct cw_state *s);
+
+/* Applies the record at offset. Offsets at or below s->applied are
+ * duplicates. The record stays the caller's. A record that cannot be parsed
+ * is skipped by the caller with cw_state_skip, alike on every replica. */
+enum cw_apply cw_state_apply(struct cw_state *s, uint64_t offset,
+                             const struct cw_record *r);
+void cw_state_skip(struct cw_state *s, uint64_t offset);
+
+/* Drops finished operations, closed waves, edits and statistics that ended
+ * before wall. Deterministic callers pass the time of a log record. */
+void cw_state_expire(struct cw_state *s, cw_ms wall);
+
+/* Serializes the state as items; each part is the JSON text of an array of at
+ * most part_max bytes. Calls add for each part. */
+enum cw_status cw_state_export(const struct cw_state *s, size_t part_max,
+                               void (*add)(void *ctx, struct cw_str items),
+                               void *ctx);
+/* Adds the items of one part to a state under construction. After the last
+ * part call cw_state_import_done with the offset that the items are as of. */
+enum cw_status cw_state_import(struct cw_state *s, struct cw_str items);
+void cw_state_import_done(struct cw_state *s, uint64_t as_of);
+
+/* ===================================================================== */
+/* state: replicated state, queries                                      */
+/* ===================================================================== */
+
+/* Lookups return NULL when there is no such entry. Pointers stay valid until
+ * the next change of the state. */
+const struct cw_doc_entry *cw_state_doc(const struct cw_state *s,
+                                        struct cw_str service);
+/* The document whose pool is the given one. */
+const struct cw_doc_entry *cw_state_doc_of_pool(const struct cw_state *s,
+                                                struct cw_str pool);
+const struct cw_vm_entry *cw_state_vm(const struct cw_state *s,
+                                      struct cw_str vm);
+const struct cw_op_entry *cw_state_op(const struct cw_state *s,
+                                      struct cw_str op);
+/* The open wave of a scope, or NULL. */
+const struct cw_wave_entry *cw_state_open_wave(const struct cw_state *s,
+                                               struct cw_str scope);
+const struct cw_member_entry *cw_state_member(const struct cw_state *s,
+                                              struct cw_str daemon);
+/* The member that holds a scope, or NULL when there are no members. */
+const struct cw_member_entry *cw_state_holder(const struct cw_state *s,
+                                              struct cw_str scope);
+/* Number of VMs whose pool is the given one. */
+size_t cw_state_pool_size(const struct cw_state *s, struct cw_str pool);
+/* A hash over the whole content, for comparing replicas. */
+uint64_t cw_state_digest(const struct cw_state *s);
+
+/* ===================================================================== */
+/* policy: slot partition                                                */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: endpoint choice, ejection, adaptive limits, leaving endpoints */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: admission                                                     */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: retry budget                                                  */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: idempotency keys                                              */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: availability budget                                           */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: maintenance waves                                             */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: VM operations                                                 */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: moves between pools                                           */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: placement of jobs                                             */
+/* ===================================================================== */
+
+/* ===================================================================== */
+/* policy: worker health and leases                                      */
+/* ===================================================================== */
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/base/cw_logger.c
@@ -0,0 +1,78 @@
+/* Structured log lines: one line of key=value pairs per event. */
+#include "cuminwalk.h"
+
+#include <string.h>
+
+static struct {
+    enum cw_level lowest;
+    FILE *out;
+    const char *name;
+} logger = {CW_INFO, NULL, NULL};
+
+static const char *const level_names[] = {"debug", "info", "warn", "error"};
+
+void
+cw_logger_setup(enum cw_level lowest, FILE *out, const char *name)
+{
+    logger.lowest = lowest;
+    logger.out = out;
+    logger.name = name;
+}
+
+bool
+cw_level_parse(const char *text, enum cw_level *out)
+{
+    for (int i = CW_DEBUG; i <= CW_ERROR; i++) {
+        if (strcmp(text, level_names[i]) == 0) {
+            *out = (enum cw_level)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+cw_log(enum cw_level level, const char *event, const char *fmt, ...)
+{
+    if (level < logger.lowest) {
+        return;
+    }
+    char when[25];
+    struct cw_clock clock = cw_clock_system();
+    cw_time_format(clock.wall(clock.ctx), when);
+    char pairs[2048];
+    va_list ap;
+    va_start(ap, fmt);
+    vsnprintf(pairs, sizeof(pairs), fmt, ap);
+    va_end(ap);
+    FILE *out = logger.out == NULL ? stderr : logger.out;
+    fprintf(out, "time=%s level=%s%s%s event=%s%s%s\n", when,
+            level_names[level], logger.name == NULL ? "" : " daemon=",
+            logger.name == NULL ? "" : logger.name, event,
+            pairs[0] == '\0' ? "" : " ", pairs);
+    fflush(out);
+}
+
+const char *
+cw_quoted(char buf[static CW_QUOTED_MAX], struct cw_str s)
+{
+    size_t n = 0;
+    buf[n++] = '"';
+    /* Room for one escape, the closing quote and the NUL. */
+    for (size_t i = 0; i < s.len && n < CW_QUOTED_MAX - 6; i++) {
+        unsigned char c = (unsigned char)s.ptr[i];
+        if (c == '"' || c == '\\') {
+            buf[n++] = '\\';
+            buf[n++] = (char)c;
+        }
+        else if (c < 0x20 || c == 0x7f) {
+            n += (size_t)snprintf(buf + n, 5, "\\x%02x", c);
+        }
+        else {
+            buf[n++] = (char)c;
+        }
+    }
+    buf[n++] = '"';
+    buf[n] = '\0';
+    return buf;
+}
