Add placement of jobs on workers

Ruled out: judging a worker by its failure rate alone. A job that has no success yet made a failing worker draw 68 tasks in 50 s; tasks of the same job that run twice as long elsewhere are the evidence now. The daemon does not call it yet.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -717,10 +717,238 @@
 /* policy: placement of jobs                                             */
 /* ===================================================================== */
 
+/* The scheduler of one placement cell. It holds the cell's workers, the jobs
+ * that documents ask for and the tasks that run, and decides in cw_place_tick
+ * what to start, renew, checkpoint or stop. It does no I/O: actions are handed
+ * to a callback, and what became of them comes back through the commands. */
+
+struct cw_size {
+    uint32_t cpu_milli;
+    uint32_t memory_mb;
+    uint32_t accelerators;
+};
+
+struct cw_place_params {
+    cw_ms lease_ms;            /* default 30000 */
+    cw_ms renew_ms;            /* default 10000 */
+    cw_ms lease_guard_ms;      /* after the lease's end, default 5000 */
+    cw_ms start_wait_ms;       /* for a start to be recorded, default 10000 */
+    cw_ms checkpoint_ms;       /* before a victim is stopped, default 5000 */
+    cw_ms reclaim_ms;          /* wait before borrowed room is called back,
+                                * default 30000 */
+    cw_ms probe_ms;            /* first probe of a quarantined worker, 60000;
+                                * doubles up to CW_HOUR */
+    uint32_t starts_per_tick;  /* default 256 */
+    uint32_t skips_per_tick;   /* tasks of a team passed over, default 64 */
+    uint32_t samples_min;      /* before learned sizes count, default 5 */
+    uint32_t quarantine_after; /* failures in a row, default 3 */
+    uint32_t reject_after;     /* good workers a task failed on, default 3 */
+    bool learn;                /* use measured sizes */
+    bool quarantine;           /* keep tasks off failing workers */
+    bool preempt;              /* make room for urgent and reclaiming tasks */
+    bool backfill;             /* pass over tasks that do not fit now */
+};
+
+/* The defaults above, every mechanism on. */
+struct cw_place_params cw_place_defaults(void);
+
+enum cw_place_state {
+    CW_PLACE_WAITING,
+    CW_PLACE_STARTING, /* start asked for, fence not known yet */
+    CW_PLACE_RUNNING,
+    CW_PLACE_EVICTING, /* asked to checkpoint, will wait again */
+    CW_PLACE_STOPPING, /* cancelled or without a valid lease */
+    CW_PLACE_DONE,
+    CW_PLACE_NEVER_FITS, /* larger than every worker of the cell */
+    CW_PLACE_REJECTED,   /* failed on several good workers */
+    CW_PLACE_CANCELLED,
+};
+const char *cw_place_state_name(enum cw_place_state s);
+
+enum cw_place_action_kind {
+    CW_PLACE_START, /* append a start record, then call the worker */
+    CW_PLACE_RENEW, /* renew all leases of one worker; task is NULL */
+    CW_PLACE_CHECKPOINT,
+    CW_PLACE_THROTTLE, /* uses more than it was given */
+    CW_PLACE_STOP,
+    CW_PLACE_RECORD_ENDED, /* append ended: the result is in text */
+    CW_PLACE_RECORD_LOST,  /* append lost; the task waits again after it */
+    CW_PLACE_TELL,         /* state changed to never_fits or rejected */
+};
+
+#define CW_PLACE_FAILED_ON 4
+
+struct cw_place_task {
+    struct cw_name name;
+    struct cw_place_job *job;
+    uint32_t index;   /* 0 .. job count - 1 */
+    uint32_t attempt; /* starts so far */
+    enum cw_place_state state;
+    struct cw_place_worker *worker;   /* where it runs or will run */
+    struct cw_place_worker *reserved; /* where room is being made */
+    uint64_t fence;          /* offset of its start record, 0 if unknown */
+    struct cw_size given;    /* room taken on the worker */
+    struct cw_size measured; /* last report */
+    struct cw_size peak;     /* largest report of this attempt */
+    cw_ms waiting_since;
+    cw_ms started_at;
+    cw_ms changed_at;      /* last change of state */
+    cw_ms checkpointed_at; /* 0 if never in this attempt */
+    bool borrowed;         /* started above the team's quota */
+    bool throttled;
+    uint32_t good_failures; /* failures on workers in good health */
+    uint64_t failed_on[CW_PLACE_FAILED_ON]; /* hashes of worker names */
+    struct cw_place_task *prev, *next;      /* queue of its team */
+    struct cw_place_task *worker_prev, *worker_next;
+};
+
+struct cw_place_action {
+    enum cw_place_action_kind kind;
+    const struct cw_place_task *task;
+    struct cw_str worker;
+    struct cw_size size;
+    char text[128]; /* result or reason */
+};
+
+struct cw_place {
+    struct cw_place_params params;
+    size_t worker_count;
+    struct cw_place_worker **workers;
+    size_t job_count;
+    struct cw_place_job **jobs;
+    size_t team_count;
+    struct cw_place_team **teams;
+    size_t class_count;
+    struct cw_place_class **classes;
+    uint64_t worker_generation; /* grows when the set of workers changes */
+    struct cw_place_maps *maps; /* private */
+    char msg[CW_MSG_MAX];
+};
+
+enum cw_status cw_place_init(struct cw_place *p,
+                             const struct cw_place_params *params);
+void cw_place_finish(struct cw_place *p);
+
+/* Sets a team's quota; the quotas of a team's documents are added up by the
+ * caller. */
+enum cw_status cw_place_team_quota(struct cw_place *p, struct cw_str team,
+                                   struct cw_size quota);
+
+/* Puts the jobs of a document in force: new jobs wait, changed sizes apply to
+ * tasks not yet started, jobs no longer listed are cancelled. Only tasks for
+ * which mine(ctx, name) holds belong to this cell; mine may be NULL for all.
+ */
+enum cw_status cw_place_document(struct cw_place *p, const struct cw_doc *doc,
+                                 bool (*mine)(void *ctx, struct cw_str task),
+                                 void *ctx, cw_ms now);
+
+/* One task in a worker's report. */
+struct cw_place_seen {
+    struct cw_str task;
+    uint64_t fence;
+    enum {
+        CW_SEEN_RUNNING,
+        CW_SEEN_DONE,
+        CW_SEEN_FAILED,
+        CW_SEEN_SAVED
+    } state;
+    uint32_t cpu_milli;
+    uint32_t memory_mb;
+};
+
+typedef void (*cw_place_act)(void *ctx, const struct cw_place_action *a);
+
+/* Takes a worker's report. A task that the worker runs and that is unknown
+ * here is left alone: its lease ends by itself. act gets the outcomes that
+ * have to be recorded and may be NULL. */
+enum cw_status cw_place_worker_report(struct cw_place *p, struct cw_str worker,
+                                      struct cw_str rack, struct cw_size size,
+                                      const struct cw_place_seen *seen,
+                                      size_t count, cw_ms now,
+                                      cw_place_act act, void *ctx);
+/* The worker left the cell; its tasks are lost when their leases have ended.
+ */
+void cw_place_worker_gone(struct cw_place *p, struct cw_str worker);
+
+/* The start record of the task was read back at this offset. Returns false
+ * when the start no longer counts (another attempt, cancelled): the caller
+ * must not call the worker. */
+bool cw_place_started(struct cw_place *p, struct cw_str task, uint32_t attempt,
+                      uint64_t fence, cw_ms now);
+/* The start did not take effect; the task waits again. */
+void cw_place_start_failed(struct cw_place *p, struct cw_str task,
+                           uint32_t attempt, cw_ms now);
+/* The lost record was read back: the task may be started again. */
+void cw_place_lost(struct cw_place *p, struct cw_str task, uint32_t attempt,
+                   cw_ms now);
+/* Replay of records written by an earlier holder of the cell. */
+void cw_place_replay_start(struct cw_place *p, struct cw_str task,
+                           struct cw_str worker, uint32_t attempt,
+                           uint64_t fence, struct cw_size size, cw_ms now);
+void cw_place_replay_ended(struct cw_place *p, struct cw_str task,
+                           uint32_t attempt, bool done, cw_ms now);
+
+/* Decides what to do now and calls act once for each action, in order. */
+void cw_place_tick(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx);
+
+/* Queries. */
+const struct cw_place_task *cw_place_task(const struct cw_place *p,
+                                          struct cw_str name);
+size_t cw_place_count(const struct cw_place *p, enum cw_place_state state);
+/* Size that a task of the job would be given now. */
+struct cw_size cw_place_request(const struct cw_place *p,
+                                const struct cw_place_job *job);
+/* Dominant share of a team's use in its quota, 0 for an unknown team. */
+double cw_place_team_share(const struct cw_place *p, struct cw_str team);
+/* Free room summed over healthy workers. */
+void cw_place_free(const struct cw_place *p, uint64_t *cpu_milli,
+                   uint64_t *memory_mb, uint64_t *accelerators);
+
 /* ===================================================================== */
 /* policy: worker health and leases                                      */
 /* ===================================================================== */
 
+/* Health of one worker, judged by the outcomes of tasks it started. */
+struct cw_worker_health {
+    uint32_t streak;       /* failures in a row of classes that succeed
+                            * elsewhere */
+    uint32_t blind_streak; /* failures in a row of any class */
+    uint64_t last_job;     /* hash of the job that failed last */
+    bool varied;           /* the failures in a row are of several jobs */
+    bool quarantined;
+    bool probing; /* one task runs as a probe */
+    uint32_t probes_failed;
+    cw_ms probe_at;
+};
+
+/* Takes the outcome of one task. class_works: tasks of its class succeed on
+ * other workers. may_quarantine_blind: few enough workers are quarantined
+ * that failures of classes without any success may count too. */
+void cw_worker_health_outcome(struct cw_worker_health *h, bool ok,
+                              bool class_works, bool may_quarantine_blind,
+                              uint64_t job_hash,
+                              const struct cw_place_params *params, cw_ms now);
+/* True when the worker may be given one more task now. */
+bool cw_worker_health_usable(const struct cw_worker_health *h, cw_ms now);
+/* The worker was given a task; a quarantined one counts it as its probe. */
+void cw_worker_health_given(struct cw_worker_health *h);
+
+/* A place in time: the lease of all tasks on one worker. */
+struct cw_lease {
+    cw_ms ends; /* monotonic; 0 before the first grant */
+    cw_ms renewed_at;
+    bool renewing;
+};
+
+void cw_lease_grant(struct cw_lease *l, cw_ms sent_at, cw_ms lease_ms);
+bool cw_lease_due(const struct cw_lease *l, cw_ms now, cw_ms renew_ms);
+/* True when the holder has to assume that the worker stopped its tasks. */
+bool cw_lease_over(const struct cw_lease *l, cw_ms now, cw_ms guard_ms);
+/* A renewal was answered; sent_at is when it was sent, so that the holder's
+ * view never ends later than the worker's. */
+void cw_place_renewed(struct cw_place *p, struct cw_str worker, cw_ms sent_at,
+                      bool ok);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/packages/policy/cw_place_evict.c
@@ -0,0 +1,191 @@
+/* Making room: which tasks are asked to checkpoint for another one. */
+#include "cw_place_int.h"
+
+#include <string.h>
+
+#define VICTIMS_MAX 32
+
+/* A reservation that is not used in this time after the last stop could have
+ * been sent goes back to everybody. */
+#define RESERVE_SLACK_MS 5000
+
+void
+cw_place_unreserve(struct cw_place_task *t)
+{
+    if (t->reserved != NULL) {
+        t->reserved->reserved_for = NULL;
+        t->reserved = NULL;
+    }
+}
+
+/* Urgent work may displace any task that is not urgent; a team below its
+ * quota may only call back what other teams borrowed. */
+static bool
+may_evict(const struct cw_place_task *t, const struct cw_place_task *victim)
+{
+    if (victim->state != CW_PLACE_RUNNING || victim->job->urgent) {
+        return false;
+    }
+    if (t->job->urgent) {
+        return true;
+    }
+    return victim->borrowed && victim->job->team != t->job->team;
+}
+
+/* Work that is lost or delayed: time since the last checkpoint, weighted by
+ * size. Borrowed tasks count for a tenth, so that they go first. */
+static double
+cost(const struct cw_place_task *v, cw_ms now)
+{
+    cw_ms since = v->checkpointed_at > v->started_at ? v->checkpointed_at
+                                                     : v->started_at;
+    double work = (double)(now - since + CW_SECOND) *
+                  ((double)v->given.cpu_milli / 1000.0 +
+                   8.0 * (double)v->given.accelerators + 0.1);
+    return v->borrowed ? work * 0.1 : work;
+}
+
+struct victims {
+    struct cw_place_task *items[VICTIMS_MAX];
+    size_t count;
+    double cost;
+};
+
+static bool
+fits_after(const struct cw_place_worker *w, struct cw_size size,
+           const struct victims *v)
+{
+    struct cw_place_worker after = *w;
+    for (size_t i = 0; i < v->count; i++) {
+        const struct cw_place_task *t = v->items[i];
+        uint64_t cpu = t->given.cpu_milli;
+        uint64_t memory = t->given.memory_mb;
+        after.used_cpu -= cpu < after.used_cpu ? cpu : after.used_cpu;
+        after.used_memory -=
+            memory < after.used_memory ? memory : after.used_memory;
+        after.used_accelerators -= t->given.accelerators;
+    }
+    return cw_place_fits(&after, size);
+}
+
+static bool
+is_chosen(const struct victims *chosen, const struct cw_place_task *v)
+{
+    for (size_t i = 0; i < chosen->count; i++) {
+        if (chosen->items[i] == v) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static struct cw_place_task *
+cheapest_left(const struct cw_place_worker *w, const struct cw_place_task *t,
+              const struct victims *chosen, cw_ms now)
+{
+    struct cw_place_task *best = NULL;
+    double best_cost = 0.0;
+    for (struct cw_place_task *v = w->tasks; v != NULL; v = v->worker_next) {
+        if (!may_evict(t, v) || is_chosen(chosen, v)) {
+            continue;
+        }
+        double c = cost(v, now);
+        if (best == NULL || c < best_cost) {
+            best = v;
+            best_cost = c;
+        }
+    }
+    return best;
+}
+
+/* Takes victims out again whose room is not needed. */
+static void
+drop_unneeded(const struct cw_place_worker *w, struct cw_size size, cw_ms now,
+              struct victims *v)
+{
+    for (size_t i = 0; i < v->count;) {
+        struct victims less = *v;
+        less.items[i] = less.items[--less.count];
+        if (!fits_after(w, size, &less)) {
+            i++;
+            continue;
+        }
+        less.cost -= cost(v->items[i], now);
+        *v = less;
+    }
+}
+
+/* Fills out with the cheapest tasks of the worker whose room is enough. */
+static bool
+choose(const struct cw_place_worker *w, const struct cw_place_task *t,
+       struct cw_size size, cw_ms now, double limit, struct victims *out)
+{
+    memset(out, 0, sizeof(*out));
+    while (!fits_after(w, size, out)) {
+        if (out->count == VICTIMS_MAX || out->cost >= limit) {
+            return false;
+        }
+        struct cw_place_task *v = cheapest_left(w, t, out, now);
+        if (v == NULL) {
+            return false;
+        }
+        out->items[out->count++] = v;
+        out->cost += cost(v, now);
+    }
+    drop_unneeded(w, size, now, out);
+    return true;
+}
+
+static bool
+has_evicting(const struct cw_place_worker *w)
+{
+    for (struct cw_place_task *v = w->tasks; v != NULL; v = v->worker_next) {
+        if (v->state == CW_PLACE_EVICTING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+evict(struct cw_place *p, struct cw_place_task *t, struct cw_place_worker *w,
+      const struct victims *v, cw_ms now, cw_place_act act, void *ctx)
+{
+    w->reserved_for = t;
+    w->reserved_until = now + 2 * p->params.checkpoint_ms + RESERVE_SLACK_MS;
+    t->reserved = w;
+    for (size_t i = 0; i < v->count; i++) {
+        struct cw_place_task *victim = v->items[i];
+        cw_place_set_state(p, victim, CW_PLACE_EVICTING, now);
+        struct cw_place_action a = {CW_PLACE_CHECKPOINT, victim,
+                                    cw_name_str(&w->name), victim->given, ""};
+        snprintf(a.text, sizeof(a.text), "for %s", t->name.text);
+        act(ctx, &a);
+    }
+}
+
+bool
+cw_place_make_room(struct cw_place *p, struct cw_place_task *t,
+                   struct cw_size size, cw_ms now, cw_place_act act, void *ctx)
+{
+    struct victims best = {.cost = 1e300};
+    struct cw_place_worker *where = NULL;
+    for (size_t i = 0; i < p->worker_count; i++) {
+        struct cw_place_worker *w = p->workers[i];
+        if (w->gone || w->reserved_for != NULL || w->health.quarantined ||
+            !cw_place_fits_empty(w, size) || cw_place_failed_on(t, w) ||
+            has_evicting(w)) {
+            continue;
+        }
+        struct victims v;
+        if (choose(w, t, size, now, best.cost, &v) && v.cost < best.cost) {
+            best = v;
+            where = w;
+        }
+    }
+    if (where == NULL) {
+        return false;
+    }
+    evict(p, t, where, &best, now, act, ctx);
+    return true;
+}
--- /dev/null
+++ b/packages/policy/cw_place_outcome.c
@@ -0,0 +1,312 @@
+/* Outcomes that reach the placement scheduler: reports, records, leases. */
+#include "cw_place_int.h"
+
+#include <string.h>
+
+struct outcome {
+    struct cw_place *p;
+    cw_ms now;
+    cw_place_act act;
+    void *ctx;
+};
+
+static void
+emit(const struct outcome *o, enum cw_place_action_kind kind,
+     const struct cw_place_task *t, const char *text)
+{
+    if (o->act == NULL) {
+        return;
+    }
+    struct cw_place_action a = {kind, t, {NULL, 0}, t->given, ""};
+    snprintf(a.text, sizeof(a.text), "%s", text);
+    o->act(o->ctx, &a);
+}
+
+static void
+note_failed_on(struct cw_place_task *t, const struct cw_place_worker *w)
+{
+    for (int i = 0; i < CW_PLACE_FAILED_ON; i++) {
+        if (t->failed_on[i] == 0 || t->failed_on[i] == w->name_hash) {
+            t->failed_on[i] = w->name_hash;
+            return;
+        }
+    }
+    /* Full: the oldest entry goes. */
+    memmove(t->failed_on, t->failed_on + 1,
+            (CW_PLACE_FAILED_ON - 1) * sizeof(t->failed_on[0]));
+    t->failed_on[CW_PLACE_FAILED_ON - 1] = w->name_hash;
+}
+
+/* Failures of a class without any success may quarantine a worker only while
+ * fewer than a tenth of the workers are out, or a bad class would empty the
+ * cell. */
+static bool
+may_quarantine_blind(const struct cw_place *p)
+{
+    return p->maps->quarantined * 10 < p->worker_count;
+}
+
+/* Tasks looked at to see whether a job runs well elsewhere. */
+#define PEERS_SCANNED 256
+
+/* True when two tasks of the same job have been running on other workers for
+ * twice the time in which this one failed. A new job has no success yet, and
+ * a worker that fails at once would draw all its tasks meanwhile. */
+static bool
+peers_run(const struct cw_place_task *t, cw_ms now)
+{
+    const struct cw_place_job *job = t->job;
+    cw_ms failed_after = now - t->started_at;
+    size_t n =
+        job->task_count < PEERS_SCANNED ? job->task_count : PEERS_SCANNED;
+    uint32_t longer = 0;
+    for (size_t i = 0; i < n; i++) {
+        const struct cw_place_task *o = job->tasks[i];
+        if (o->state == CW_PLACE_RUNNING && o->worker != t->worker &&
+            now - o->started_at > 2 * failed_after) {
+            longer++;
+        }
+    }
+    return longer >= 2;
+}
+
+static void
+judge_worker(const struct outcome *o, const struct cw_place_task *t, bool ok)
+{
+    struct cw_worker_health *h = &t->worker->health;
+    const struct cw_place_class *c = t->job->class;
+    bool class_works = (c->succeeded > 0 && c->succeeded * 2 >= c->failed) ||
+                       (!ok && peers_run(t, o->now));
+    bool was = h->quarantined;
+    cw_worker_health_outcome(h, ok, class_works, may_quarantine_blind(o->p),
+                             cw_hash(cw_name_str(&t->job->name), 0),
+                             &o->p->params, o->now);
+    if (was && !h->quarantined) {
+        o->p->maps->quarantined--;
+    }
+    if (!was && h->quarantined) {
+        o->p->maps->quarantined++;
+    }
+}
+
+static void
+task_done(const struct outcome *o, struct cw_place_task *t)
+{
+    struct cw_place_class *c = t->job->class;
+    judge_worker(o, t, true);
+    c->succeeded++;
+    if (t->peak.cpu_milli > 0 || t->peak.memory_mb > 0) {
+        cw_place_class_sample(c, t->peak.cpu_milli, t->peak.memory_mb);
+    }
+    cw_place_release(t);
+    cw_place_set_state(o->p, t, CW_PLACE_DONE, o->now);
+    emit(o, CW_PLACE_RECORD_ENDED, t, "done");
+}
+
+static void
+task_failed(const struct outcome *o, struct cw_place_task *t)
+{
+    struct cw_place_worker *w = t->worker;
+    judge_worker(o, t, false);
+    t->job->class->failed++;
+    note_failed_on(t, w);
+    /* A failure on a worker that fails everything does not count against
+     * the task. */
+    if (!w->health.quarantined) {
+        t->good_failures++;
+    }
+    emit(o, CW_PLACE_RECORD_ENDED, t, "failed");
+    if (t->good_failures < o->p->params.reject_after) {
+        cw_place_requeue(o->p, t, o->now);
+        return;
+    }
+    cw_place_release(t);
+    cw_place_set_state(o->p, t, CW_PLACE_REJECTED, o->now);
+    char text[sizeof(((struct cw_place_action *)0)->text)];
+    snprintf(text, sizeof(text), "failed on %u workers in good health",
+             t->good_failures);
+    emit(o, CW_PLACE_TELL, t, text);
+}
+
+static void
+take_seen(const struct outcome *o, struct cw_place_worker *w,
+          const struct cw_place_seen *s)
+{
+    struct cw_place_task *t = cw_place_find_task(o->p, s->task);
+    /* A report of an earlier attempt carries a lower fence. */
+    if (t == NULL || t->worker != w || t->fence == 0 || t->fence != s->fence) {
+        return;
+    }
+    bool leaving =
+        t->state == CW_PLACE_STOPPING || t->state == CW_PLACE_EVICTING;
+    cw_place_measure(t, s->cpu_milli, s->memory_mb);
+    switch (s->state) {
+    case CW_SEEN_RUNNING:
+        break;
+    case CW_SEEN_DONE:
+        task_done(o, t);
+        break;
+    case CW_SEEN_FAILED:
+        if (!leaving) {
+            task_failed(o, t);
+            break;
+        }
+        emit(o, CW_PLACE_RECORD_ENDED, t, "stopped");
+        cw_place_requeue(o->p, t, o->now);
+        break;
+    case CW_SEEN_SAVED:
+        t->checkpointed_at = o->now;
+        if (leaving) {
+            emit(o, CW_PLACE_RECORD_ENDED, t, "checkpointed");
+            cw_place_requeue(o->p, t, o->now);
+        }
+        break;
+    }
+}
+
+enum cw_status
+cw_place_worker_report(struct cw_place *p, struct cw_str worker,
+                       struct cw_str rack, struct cw_size size,
+                       const struct cw_place_seen *seen, size_t count,
+                       cw_ms now, cw_place_act act, void *ctx)
+{
+    struct cw_place_worker *w = cw_place_add_worker(p, worker);
+    if (w == NULL || cw_name_set(&w->rack, rack) != CW_OK) {
+        return cw_fail(p->msg, w == NULL ? CW_ERR_NOMEM : CW_ERR_INVALID,
+                       "worker %.*s not taken", CW_FMT(worker));
+    }
+    if (w->gone || memcmp(&w->size, &size, sizeof(size)) != 0) {
+        p->worker_generation++;
+    }
+    w->gone = false;
+    w->renew_failures = 0;
+    w->size = size;
+    struct cw_size *top = &p->maps->largest;
+    top->cpu_milli =
+        size.cpu_milli > top->cpu_milli ? size.cpu_milli : top->cpu_milli;
+    top->memory_mb =
+        size.memory_mb > top->memory_mb ? size.memory_mb : top->memory_mb;
+    w->rack_hash = cw_hash(rack, 0);
+    struct outcome o = {p, now, act, ctx};
+    for (size_t i = 0; i < count; i++) {
+        take_seen(&o, w, &seen[i]);
+    }
+    return CW_OK;
+}
+
+void
+cw_place_worker_gone(struct cw_place *p, struct cw_str worker)
+{
+    struct cw_place_worker *w = cw_map_get(&p->maps->workers, worker);
+    if (w == NULL || w->gone) {
+        return;
+    }
+    w->gone = true;
+    p->worker_generation++;
+    if (w->reserved_for != NULL) {
+        cw_place_unreserve(w->reserved_for);
+    }
+}
+
+void
+cw_place_renewed(struct cw_place *p, struct cw_str worker, cw_ms sent_at,
+                 bool ok)
+{
+    struct cw_place_worker *w = cw_map_get(&p->maps->workers, worker);
+    if (w == NULL || w->lease.renewed_at != sent_at) {
+        return;
+    }
+    w->lease.renewing = false;
+    w->renew_failures = ok ? 0 : w->renew_failures + 1;
+}
+
+/* ---- records --------------------------------------------------------- */
+
+static struct cw_place_task *
+current_attempt(const struct cw_place *p, struct cw_str task, uint32_t attempt)
+{
+    struct cw_place_task *t = cw_place_find_task(p, task);
+    return t != NULL && t->attempt == attempt ? t : NULL;
+}
+
+bool
+cw_place_started(struct cw_place *p, struct cw_str task, uint32_t attempt,
+                 uint64_t fence, cw_ms now)
+{
+    struct cw_place_task *t = current_attempt(p, task, attempt);
+    if (t == NULL || t->state != CW_PLACE_STARTING) {
+        return false;
+    }
+    if (!t->job->listed || t->index >= t->job->count) {
+        cw_place_requeue(p, t, now);
+        return false;
+    }
+    t->fence = fence;
+    t->started_at = now;
+    cw_lease_grant(&t->worker->lease, now, p->params.lease_ms);
+    cw_place_set_state(p, t, CW_PLACE_RUNNING, now);
+    return true;
+}
+
+void
+cw_place_start_failed(struct cw_place *p, struct cw_str task, uint32_t attempt,
+                      cw_ms now)
+{
+    struct cw_place_task *t = current_attempt(p, task, attempt);
+    if (t != NULL && t->worker != NULL) {
+        cw_place_requeue(p, t, now);
+    }
+}
+
+void
+cw_place_lost(struct cw_place *p, struct cw_str task, uint32_t attempt,
+              cw_ms now)
+{
+    struct cw_place_task *t = current_attempt(p, task, attempt);
+    if (t != NULL && t->state == CW_PLACE_STOPPING) {
+        cw_place_requeue(p, t, now);
+    }
+}
+
+void
+cw_place_replay_start(struct cw_place *p, struct cw_str task,
+                      struct cw_str worker, uint32_t attempt, uint64_t fence,
+                      struct cw_size size, cw_ms now)
+{
+    struct cw_place_task *t = cw_place_find_task(p, task);
+    struct cw_place_worker *w = cw_place_add_worker(p, worker);
+    if (t == NULL || w == NULL || attempt <= t->attempt) {
+        return;
+    }
+    if (t->state == CW_PLACE_WAITING) {
+        cw_place_unreserve(t);
+        cw_place_dequeue(t);
+    }
+    else {
+        cw_place_release(t);
+    }
+    t->attempt = attempt;
+    t->fence = fence;
+    t->started_at = now;
+    cw_place_take(t, w, size);
+    /* The earlier holder may have renewed just before it was replaced. */
+    cw_lease_grant(&w->lease, now, p->params.lease_ms);
+    cw_place_set_state(
+        p, t, t->job->listed ? CW_PLACE_RUNNING : CW_PLACE_STOPPING, now);
+}
+
+void
+cw_place_replay_ended(struct cw_place *p, struct cw_str task, uint32_t attempt,
+                      bool done, cw_ms now)
+{
+    struct cw_place_task *t = current_attempt(p, task, attempt);
+    if (t == NULL || t->worker == NULL) {
+        return;
+    }
+    if (!done) {
+        cw_place_requeue(p, t, now);
+        return;
+    }
+    cw_place_release(t);
+    cw_place_set_state(p, t, CW_PLACE_DONE, now);
+}
--- /dev/null
+++ b/packages/policy/cw_place_tick.c
@@ -0,0 +1,413 @@
+/* What the scheduler of a cell does now. */
+#include "cw_place_int.h"
+
+/* Sizes for which no worker was found in this tick. A task that needs at
+ * least as much of everything is passed over without another search. */
+#define MISSES_MAX 16
+
+struct tick {
+    struct cw_place *p;
+    cw_ms now;
+    cw_place_act act;
+    void *ctx;
+    uint32_t starts;
+    size_t miss_count;
+    struct cw_size misses[MISSES_MAX];
+};
+
+static void
+emit(const struct tick *k, enum cw_place_action_kind kind,
+     const struct cw_place_task *t, const struct cw_place_worker *w,
+     struct cw_size size, const char *text)
+{
+    struct cw_place_action a = {kind, t, {NULL, 0}, size, ""};
+    if (w != NULL) {
+        a.worker = cw_name_str(&w->name);
+    }
+    snprintf(a.text, sizeof(a.text), "%s", text);
+    k->act(k->ctx, &a);
+}
+
+static bool
+is_missed(const struct tick *k, struct cw_size s)
+{
+    for (size_t i = 0; i < k->miss_count; i++) {
+        const struct cw_size *m = &k->misses[i];
+        if (s.cpu_milli >= m->cpu_milli && s.memory_mb >= m->memory_mb &&
+            s.accelerators >= m->accelerators) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_miss(struct tick *k, struct cw_size s)
+{
+    if (k->miss_count < MISSES_MAX) {
+        k->misses[k->miss_count++] = s;
+    }
+}
+
+/* ---- tasks that run -------------------------------------------------- */
+
+static void
+tick_lost(struct tick *k, struct cw_place_task *t)
+{
+    bool stopping = t->state == CW_PLACE_STOPPING;
+    if (stopping && !t->job->listed) {
+        cw_place_release(t);
+        cw_place_set_state(k->p, t, CW_PLACE_CANCELLED, k->now);
+        emit(k, CW_PLACE_RECORD_ENDED, t, NULL, t->given, "cancelled");
+        return;
+    }
+    /* The lost record is on its way to the log. */
+    if (stopping && k->now - t->changed_at < k->p->params.start_wait_ms) {
+        return;
+    }
+    cw_place_set_state(k->p, t, CW_PLACE_STOPPING, k->now);
+    emit(k, CW_PLACE_RECORD_LOST, t, t->worker, t->given, "lease ended");
+}
+
+static void
+tick_task(struct tick *k, struct cw_place_task *t, bool lease_over)
+{
+    const struct cw_place_params *params = &k->p->params;
+    cw_ms age = k->now - t->changed_at;
+    if (t->state == CW_PLACE_STARTING) {
+        /* Should the record still be read later, cw_place_started refuses
+         * it, because the task waits again by then. */
+        if (age >= params->start_wait_ms) {
+            cw_place_requeue(k->p, t, k->now);
+        }
+        return;
+    }
+    if (lease_over) {
+        tick_lost(k, t);
+        return;
+    }
+    bool cancelled = t->state == CW_PLACE_STOPPING && !t->job->listed;
+    bool evicting = t->state == CW_PLACE_EVICTING;
+    if ((cancelled || evicting) && age >= params->checkpoint_ms) {
+        t->changed_at = k->now;
+        emit(k, CW_PLACE_STOP, t, t->worker, t->given,
+             cancelled ? "cancelled" : "no checkpoint in time");
+    }
+}
+
+/* A task may use this many times its given size before it is throttled. */
+#define OVERUSE_RATIO 1.2
+
+static double
+overuse(const struct cw_place_task *t)
+{
+    double cpu =
+        (double)t->measured.cpu_milli / ((double)t->given.cpu_milli + 1.0);
+    double memory =
+        (double)t->measured.memory_mb / ((double)t->given.memory_mb + 1.0);
+    return cpu > memory ? cpu : memory;
+}
+
+/* Throttles the task that is furthest above its given size when the worker
+ * is overfull. */
+static void
+tick_overuse(struct tick *k, struct cw_place_worker *w)
+{
+    if (w->used_cpu <= w->size.cpu_milli &&
+        w->used_memory <= w->size.memory_mb) {
+        return;
+    }
+    struct cw_place_task *worst = NULL;
+    double worst_ratio = OVERUSE_RATIO;
+    for (struct cw_place_task *t = w->tasks; t != NULL; t = t->worker_next) {
+        bool may =
+            t->state == CW_PLACE_RUNNING && !t->throttled && !t->job->urgent;
+        if (may && overuse(t) > worst_ratio) {
+            worst = t;
+            worst_ratio = overuse(t);
+        }
+    }
+    if (worst != NULL) {
+        worst->throttled = true;
+        emit(k, CW_PLACE_THROTTLE, worst, w, worst->given,
+             "uses more than it was given");
+    }
+}
+
+/* After this many unanswered renewals the worker counts as away: renewing
+ * further would move the end of the lease, and its tasks could never be
+ * declared lost. */
+#define RENEW_FAILURES_MAX 3
+
+static void
+tick_worker(struct tick *k, struct cw_place_worker *w)
+{
+    const struct cw_place_params *params = &k->p->params;
+    if (w->reserved_for != NULL && k->now >= w->reserved_until) {
+        cw_place_unreserve(w->reserved_for);
+    }
+    if (w->tasks == NULL) {
+        return;
+    }
+    bool away = w->gone || w->renew_failures >= RENEW_FAILURES_MAX;
+    if (!away && cw_lease_due(&w->lease, k->now, params->renew_ms)) {
+        cw_lease_grant(&w->lease, k->now, params->lease_ms);
+        w->lease.renewing = true;
+        emit(k, CW_PLACE_RENEW, NULL, w, (struct cw_size){0}, "");
+    }
+    bool over = cw_lease_over(&w->lease, k->now, params->lease_guard_ms);
+    struct cw_place_task *next;
+    for (struct cw_place_task *t = w->tasks; t != NULL; t = next) {
+        next = t->worker_next;
+        tick_task(k, t, over);
+    }
+    tick_overuse(k, w);
+}
+
+/* ---- tasks that wait ------------------------------------------------- */
+
+static bool
+fits_no_worker(const struct cw_place *p, struct cw_size size)
+{
+    for (size_t i = 0; i < p->worker_count; i++) {
+        if (!p->workers[i]->gone && cw_place_fits_empty(p->workers[i], size)) {
+            return false;
+        }
+    }
+    return p->worker_count > 0;
+}
+
+static bool
+above_quota(const struct cw_place_team *team)
+{
+    return team->used_cpu > team->quota.cpu_milli ||
+           team->used_memory > team->quota.memory_mb ||
+           team->used_accelerators > team->quota.accelerators;
+}
+
+static void
+start(struct tick *k, struct cw_place_task *t, struct cw_place_worker *w,
+      struct cw_size size)
+{
+    cw_place_dequeue(t);
+    cw_place_unreserve(t);
+    t->attempt++;
+    t->fence = 0;
+    t->throttled = false;
+    t->measured = (struct cw_size){0};
+    t->peak = (struct cw_size){0};
+    cw_place_take(t, w, size);
+    t->borrowed = above_quota(t->job->team);
+    t->job->last_rack = w->rack_hash;
+    cw_worker_health_given(&w->health);
+    cw_place_set_state(k->p, t, CW_PLACE_STARTING, k->now);
+    k->starts++;
+    emit(k, CW_PLACE_START, t, w, size, "");
+}
+
+static void
+leave_queue_never_fits(struct tick *k, struct cw_place_task *t,
+                       struct cw_size size)
+{
+    char text[sizeof(((struct cw_place_action *)0)->text)];
+    snprintf(text, sizeof(text),
+             "needs cpu_milli=%u memory_mb=%u accelerators=%u, more than any "
+             "worker has",
+             size.cpu_milli, size.memory_mb, size.accelerators);
+    cw_place_dequeue(t);
+    cw_place_set_state(k->p, t, CW_PLACE_NEVER_FITS, k->now);
+    emit(k, CW_PLACE_TELL, t, NULL, size, text);
+}
+
+enum try_result { TRY_STARTED, TRY_NO_ROOM, TRY_LEFT_QUEUE };
+
+static enum try_result
+try_start(struct tick *k, struct cw_place_task *t, struct cw_size size)
+{
+    struct cw_place_worker *w = t->reserved;
+    if (w != NULL && !w->gone && cw_place_fits(w, size) &&
+        cw_worker_health_usable(&w->health, k->now)) {
+        start(k, t, w, size);
+        return TRY_STARTED;
+    }
+    if (is_missed(k, size)) {
+        return TRY_NO_ROOM;
+    }
+    w = cw_place_best(k->p, t, size, k->now);
+    if (w != NULL) {
+        start(k, t, w, size);
+        return TRY_STARTED;
+    }
+    if (fits_no_worker(k->p, size)) {
+        leave_queue_never_fits(k, t, size);
+        return TRY_LEFT_QUEUE;
+    }
+    /* A search that left out workers on which the task failed says nothing
+     * about other tasks. */
+    if (t->failed_on[0] == 0) {
+        add_miss(k, size);
+    }
+    return TRY_NO_ROOM;
+}
+
+/* Searches for victims in one tick; each looks at every running task. */
+#define EVICTIONS_PER_TICK 8
+
+static void
+tick_urgent(struct tick *k)
+{
+    const struct cw_place_params *params = &k->p->params;
+    uint32_t evictions = 0;
+    for (size_t i = 0; i < k->p->team_count; i++) {
+        struct cw_place_task *next;
+        struct cw_place_task *t = k->p->teams[i]->urgent_head;
+        for (uint32_t n = 0; t != NULL && n < params->skips_per_tick;
+             t = next, n++) {
+            next = t->next;
+            struct cw_size size = cw_place_request(k->p, t->job);
+            if (try_start(k, t, size) != TRY_NO_ROOM) {
+                continue;
+            }
+            if (params->preempt && t->reserved == NULL &&
+                evictions < EVICTIONS_PER_TICK) {
+                cw_place_make_room(k->p, t, size, k->now, k->act, k->ctx);
+                evictions++;
+            }
+        }
+    }
+}
+
+static double
+dominant_share(const struct cw_place_team *team)
+{
+    const struct {
+        uint64_t used;
+        uint32_t quota;
+    } parts[] = {
+        {team->used_cpu, team->quota.cpu_milli},
+        {team->used_memory, team->quota.memory_mb},
+        {team->used_accelerators, team->quota.accelerators},
+    };
+    double share = 0.0;
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        if (parts[i].used == 0) {
+            continue;
+        }
+        double s = (double)parts[i].used / ((double)parts[i].quota + 1e-9);
+        share = s > share ? s : share;
+    }
+    return share;
+}
+
+double
+cw_place_team_share(const struct cw_place *p, struct cw_str team)
+{
+    const struct cw_place_team *t = cw_map_get(&p->maps->teams, team);
+    return t == NULL ? 0.0 : dominant_share(t);
+}
+
+static struct cw_place_team *
+poorest_team(const struct cw_place *p)
+{
+    struct cw_place_team *best = NULL;
+    for (size_t i = 0; i < p->team_count; i++) {
+        struct cw_place_team *t = p->teams[i];
+        if (t->cursor != NULL && (best == NULL || t->share < best->share)) {
+            best = t;
+        }
+    }
+    return best;
+}
+
+static bool
+within_quota(const struct cw_place_team *team, struct cw_size s)
+{
+    return team->used_cpu + s.cpu_milli <= team->quota.cpu_milli &&
+           team->used_memory + s.memory_mb <= team->quota.memory_mb &&
+           team->used_accelerators + s.accelerators <=
+               team->quota.accelerators;
+}
+
+static bool
+may_reclaim(const struct tick *k, const struct cw_place_task *t,
+            struct cw_size size)
+{
+    const struct cw_place_params *params = &k->p->params;
+    return params->preempt && t->reserved == NULL &&
+           k->now - t->waiting_since >= params->reclaim_ms &&
+           within_quota(t->job->team, size);
+}
+
+static void
+tick_normal(struct tick *k)
+{
+    const struct cw_place_params *params = &k->p->params;
+    uint32_t evictions = 0;
+    for (size_t i = 0; i < k->p->team_count; i++) {
+        struct cw_place_team *team = k->p->teams[i];
+        team->cursor = team->head;
+        team->skips = 0;
+        team->share = dominant_share(team);
+    }
+    struct cw_place_team *team;
+    while (k->starts < params->starts_per_tick &&
+           (team = poorest_team(k->p)) != NULL) {
+        struct cw_place_task *t = team->cursor;
+        struct cw_size size = cw_place_request(k->p, t->job);
+        team->cursor = t->next;
+        if (try_start(k, t, size) != TRY_NO_ROOM) {
+            team->share = dominant_share(team);
+            continue;
+        }
+        if (evictions < EVICTIONS_PER_TICK && may_reclaim(k, t, size)) {
+            cw_place_make_room(k->p, t, size, k->now, k->act, k->ctx);
+            evictions++;
+        }
+        team->skips++;
+        if (!params->backfill || team->skips >= params->skips_per_tick) {
+            team->cursor = NULL;
+        }
+    }
+}
+
+/* Tasks that fitted no worker wait again when the workers change. */
+static void
+tick_never_fits(struct tick *k)
+{
+    struct cw_place_maps *maps = k->p->maps;
+    bool changed = maps->never_fits_generation != k->p->worker_generation;
+    maps->never_fits_generation = k->p->worker_generation;
+    if (!changed || maps->counts[CW_PLACE_NEVER_FITS] == 0) {
+        return;
+    }
+    for (size_t i = 0; i < k->p->job_count; i++) {
+        struct cw_place_job *job = k->p->jobs[i];
+        for (size_t n = 0; n < job->task_count; n++) {
+            struct cw_place_task *t = job->tasks[n];
+            if (t->state == CW_PLACE_NEVER_FITS) {
+                cw_place_set_state(k->p, t, CW_PLACE_WAITING, k->now);
+                cw_place_enqueue(t, false);
+            }
+        }
+    }
+}
+
+/* Jobs that are over are freed this often, which bounds the memory by the
+ * jobs listed and those cancelled in this time. */
+#define PURGE_MS CW_MINUTE
+
+void
+cw_place_tick(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx)
+{
+    struct tick k = {.p = p, .now = now, .act = act, .ctx = ctx};
+    for (size_t i = 0; i < p->worker_count; i++) {
+        tick_worker(&k, p->workers[i]);
+    }
+    if (now - p->maps->purged_at >= PURGE_MS) {
+        p->maps->purged_at = now;
+        cw_place_purge(p);
+    }
+    tick_never_fits(&k);
+    tick_urgent(&k);
+    tick_normal(&k);
+}
--- /dev/null
+++ b/packages/policy/cw_worker_health.c
@@ -0,0 +1,90 @@
+/* Health of a worker and leases of its tasks. */
+#include "cuminwalk.h"
+
+static void
+quarantine(struct cw_worker_health *h, const struct cw_place_params *params,
+           cw_ms now)
+{
+    cw_ms wait = params->probe_ms;
+    for (uint32_t i = 0; i < h->probes_failed && wait < CW_HOUR; i++) {
+        wait *= 2;
+    }
+    h->quarantined = true;
+    h->probing = false;
+    h->probe_at = now + (wait < CW_HOUR ? wait : CW_HOUR);
+}
+
+void
+cw_worker_health_outcome(struct cw_worker_health *h, bool ok, bool class_works,
+                         bool may_quarantine_blind, uint64_t job_hash,
+                         const struct cw_place_params *params, cw_ms now)
+{
+    if (ok) {
+        *h = (struct cw_worker_health){0};
+        return;
+    }
+    if (h->probing) {
+        h->probes_failed++;
+        quarantine(h, params, now);
+        return;
+    }
+    if (h->quarantined) {
+        return;
+    }
+    if (h->blind_streak > 0 && h->last_job != job_hash) {
+        h->varied = true;
+    }
+    h->last_job = job_hash;
+    h->blind_streak++;
+    if (class_works) {
+        /* Earlier failures of the same job count now that it is known to
+         * run elsewhere. */
+        h->streak = h->varied ? h->streak + 1 : h->blind_streak;
+    }
+    /* A failing class says nothing about the worker, unless several jobs
+     * fail there that have not succeeded anywhere else yet. */
+    bool bad = h->streak >= params->quarantine_after ||
+               (may_quarantine_blind && h->varied &&
+                h->blind_streak >= params->quarantine_after);
+    if (params->quarantine && bad) {
+        quarantine(h, params, now);
+    }
+}
+
+bool
+cw_worker_health_usable(const struct cw_worker_health *h, cw_ms now)
+{
+    if (!h->quarantined) {
+        return true;
+    }
+    return !h->probing && now >= h->probe_at;
+}
+
+void
+cw_worker_health_given(struct cw_worker_health *h)
+{
+    if (h->quarantined) {
+        h->probing = true;
+    }
+}
+
+void
+cw_lease_grant(struct cw_lease *l, cw_ms sent_at, cw_ms lease_ms)
+{
+    l->renewed_at = sent_at;
+    if (sent_at + lease_ms > l->ends) {
+        l->ends = sent_at + lease_ms;
+    }
+}
+
+bool
+cw_lease_due(const struct cw_lease *l, cw_ms now, cw_ms renew_ms)
+{
+    return !l->renewing && now - l->renewed_at >= renew_ms;
+}
+
+bool
+cw_lease_over(const struct cw_lease *l, cw_ms now, cw_ms guard_ms)
+{
+    return now >= l->ends + guard_ms;
+}
