Replay log records into the replicated state

Cause: documents, membership, VMs, operations, waves and statistics are agreed by log order, and nothing read the log's records yet.

Duplicate ids are found among the last 16,384 records, 32 s at 500 appends a second, where a writer appends again at most 5 s later. cw_state_advance drops history after 15 days and merges statistics into one entry an hour, by the log's time, which is the same on every replica. Additions to the header: by_incarnation of a record, which lets replay refuse records of a daemon's former incarnation, and the limits CW_SEEN_IDS, CW_HISTORY_MS, CW_EDITS_MAX, CW_PART_MIN. A pool name is limited to 58 bytes, so that pool/<name> fits a scope. Conclusion: other parts can replay, query and export the state.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -479,8 +479,8 @@
 };
 
 struct cw_rec_stat {
-    struct cw_name daemon;
-    cw_ms from; /* wall */
+    struct cw_name daemon; /* empty in a state: one hour, all daemons */
+    cw_ms from;            /* wall */
     cw_ms to;
     size_t count;
     struct cw_stat_service *services;
@@ -500,7 +500,8 @@
     enum cw_record_type type;
     struct cw_name id;
     struct cw_name by;
-    cw_ms time; /* wall, as the writer saw it */
+    uint64_t by_incarnation; /* of the writing daemon; 0 = not stated */
+    cw_ms time;              /* wall, as the writer saw it */
     union {
         struct cw_rec_doc doc;
         struct cw_rec_member member;
@@ -513,7 +514,9 @@
     void *owned; /* private memory of a parsed record */
 };
 
-/* Parses one JSON object. msg (CW_MSG_MAX bytes) names the field at fault. */
+/* Parses one JSON object. msg (CW_MSG_MAX bytes) names the field at fault.
+ * Unknown keys are ignored, so that an older daemon reads newer records. In
+ * JSON, doc is the document's text as a string; an object is accepted too. */
 enum cw_status cw_record_parse(struct cw_record *r, struct cw_str json,
                                char *msg);
 void cw_record_finish(struct cw_record *r);
@@ -629,23 +632,46 @@
 void cw_state_finish(struct cw_state *s);
 
 /* Applies the record at offset. Offsets at or below s->applied are
- * duplicates. The record stays the caller's. A record that cannot be parsed
- * is skipped by the caller with cw_state_skip, alike on every replica. */
+ * duplicates, and so is an id among the last CW_SEEN_IDS records. Running out
+ * of memory stops the process: a replica that skips a record would differ
+ * from the others. The record stays the caller's. A record that cannot be
+ * parsed is skipped by the caller with cw_state_skip, alike on every replica.
+ */
 enum cw_apply cw_state_apply(struct cw_state *s, uint64_t offset,
                              const struct cw_record *r);
 void cw_state_skip(struct cw_state *s, uint64_t offset);
 
+/* Record ids kept to find duplicates, oldest dropped first. A writer appends
+ * a record again at most 5 s after the first time; at 500 appends a second
+ * this many ids cover 32 s. */
+#define CW_SEEN_IDS 16384
+
+/* Time for which finished operations, edits and statistics are kept. */
+#define CW_HISTORY_MS (15 * CW_DAY)
+/* Edits kept in all; a flood of edits drops the oldest ones earlier. */
+#define CW_EDITS_MAX 16384
+
+/* Tells the log service's time of the record that was just applied or
+ * skipped. Call it after each record: once an hour of log time it drops
+ * history older than CW_HISTORY_MS and merges statistics that ended more than
+ * an hour ago into one entry an hour. The log's time is used because it is the
+ * same on every replica and no daemon's clock can move it. */
+void cw_state_advance(struct cw_state *s, cw_ms log_time);
+
 /* Drops finished operations, closed waves, edits and statistics that ended
  * before wall. Deterministic callers pass the time of a log record. */
 void cw_state_expire(struct cw_state *s, cw_ms wall);
 
+#define CW_PART_MIN 4096 /* smallest part_max */
+
 /* Serializes the state as items; each part is the JSON text of an array of at
  * most part_max bytes. Calls add for each part. */
 enum cw_status cw_state_export(const struct cw_state *s, size_t part_max,
                                void (*add)(void *ctx, struct cw_str items),
                                void *ctx);
-/* Adds the items of one part to a state under construction. After the last
- * part call cw_state_import_done with the offset that the items are as of. */
+/* Adds the items of one part to a state under construction; parts are added
+ * in order to a state without records. After the last part call
+ * cw_state_import_done with the offset that the items are as of. */
 enum cw_status cw_state_import(struct cw_state *s, struct cw_str items);
 void cw_state_import_done(struct cw_state *s, uint64_t as_of);
 
--- a/packages/config/cw_doc.c
+++ b/packages/config/cw_doc.c
@@ -10,6 +10,8 @@
     MAX_JOBS = 256,
     MAX_PATH_PREFIX = 1024,
     MAX_VMS = 10000,
+    /* The scope pool/<name> has to fit a name. */
+    MAX_POOL = CW_NAME_MAX - 5,
 };
 
 static const char *const doc_keys[] = {
@@ -373,6 +375,11 @@
     cw_jget_name(o, "team", true, &d->team);
     d->pool = d->service;
     cw_jget_name(o, "pool", false, &d->pool);
+    if (d->pool.len > MAX_POOL) {
+        cw_jobj_fault(o, "pool",
+                      "has %u bytes; the limit is %d (it defaults to service)",
+                      d->pool.len, MAX_POOL);
+    }
     cw_jget_bool(o, "spare_pool", false, &d->spare_pool);
     cw_jget_u32(o, "priority", false, 0, 9, &d->priority);
     cw_jget_ms(o, "deadline_ms", false, 10, 10 * CW_MINUTE, &d->deadline_ms);
--- /dev/null
+++ b/packages/state/cw_index.h
@@ -0,0 +1,90 @@
+/* Hash lookups of the replicated state and the memory of seen record ids. */
+#ifndef CW_INDEX_H
+#define CW_INDEX_H
+
+#include "cuminwalk.h"
+
+/* Entries by name; an entry's first member is its struct cw_name. */
+struct cw_map {
+    void **slots;
+    size_t cap; /* a power of two, or 0 */
+    size_t count;
+};
+
+void *cw_map_get(const struct cw_map *m, struct cw_str name);
+/* The name must not be in the map yet. */
+void cw_map_put(struct cw_map *m, void *entry);
+void cw_map_clear(struct cw_map *m);
+void cw_map_finish(struct cw_map *m);
+
+struct cw_pool_entry {
+    struct cw_name pool;
+    size_t vms;
+    struct cw_doc_entry *doc;   /* NULL while no document names the pool */
+    struct cw_wave_entry *wave; /* open wave or NULL */
+};
+
+/* Highest incarnation of a daemon that is no member any more. */
+struct cw_departed {
+    struct cw_name daemon;
+    uint64_t incarnation;
+};
+
+/* Departed daemons kept, oldest dropped first. */
+#define CW_DEPARTED_MAX 256
+
+struct cw_state_index {
+    struct cw_map docs;
+    struct cw_map vms;
+    struct cw_map ops;
+    struct cw_map waves;
+    struct cw_map pools;
+    struct cw_pool_entry **pool_list; /* in order of first use */
+    size_t pool_count;
+    size_t departed_count;
+    struct cw_departed departed[CW_DEPARTED_MAX];
+    cw_ms hour; /* start of the hour of the last cw_state_advance */
+
+    /* Hashes of the last record ids: a ring in order of arrival and an open
+     * addressing set over the same values, 0 = free slot. */
+    uint64_t seen_ring[CW_SEEN_IDS];
+    size_t seen_first;
+    size_t seen_count;
+    uint64_t seen_set[2 * CW_SEEN_IDS];
+
+    /* Document whose text is being imported. */
+    struct cw_doc_entry *import_doc;
+    size_t import_len;
+};
+
+/* Memory or the end of the process; see cw_state_apply. */
+void *cw_need(void *p);
+/* Makes room for one more pointer in a list. */
+void *cw_list_grow(void *list, size_t count);
+
+struct cw_state_index *cw_index(struct cw_state *s);
+/* Returns the entry of a pool, made on first use. */
+struct cw_pool_entry *cw_index_pool(struct cw_state *s, struct cw_str pool);
+/* The pool of a scope pool/<name>, NULL when unknown. */
+struct cw_pool_entry *cw_index_scope(const struct cw_state *s,
+                                     struct cw_str scope);
+
+/* False when the hash is among the last CW_SEEN_IDS ones. */
+bool cw_seen_add(struct cw_state_index *x, uint64_t hash);
+uint64_t cw_seen_hash(struct cw_str id);
+
+/* Insert an entry into the sorted list or at the end, and into the maps. The
+ * state owns the entry afterwards. */
+void cw_state_add_doc(struct cw_state *s, struct cw_doc_entry *e);
+void cw_state_add_vm(struct cw_state *s, struct cw_vm_entry *e);
+void cw_state_add_op(struct cw_state *s, struct cw_op_entry *e);
+void cw_state_add_wave(struct cw_state *s, struct cw_wave_entry *e);
+void cw_state_add_edit(struct cw_state *s, struct cw_edit_entry *e);
+void cw_state_add_stat(struct cw_state *s, struct cw_rec_stat *e);
+void cw_state_add_member(struct cw_state *s, const struct cw_member_entry *e);
+void cw_state_add_departed(struct cw_state *s, const struct cw_name *daemon,
+                           uint64_t incarnation);
+/* Sets doc as the document of its pool. */
+void cw_state_link_doc(struct cw_state *s, struct cw_doc_entry *e);
+
+#endif
