Add stand-ins for the platform, endpoints and callers

Cause: daemons and policies need the systems around them for tests, with their faults, on one machine and without third-party servers. Change: standin-platform serves the log, VM list, pool and worker control with outages, slow and lost answers, retention, lags and fences, and counts calls that must never happen. standin-endpoint serves many endpoints with slots, drains, reboots and fault modes and counts runs by token. standin-load sends open- and closed-loop load and judges every answer.

--- /dev/null
+++ b/standins/platform_fault.c
@@ -0,0 +1,82 @@
+/* Fault switches of the platform stand-in's parts. */
+#include "platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct late {
+    uv_timer_t timer;
+    h2o_req_t *req;
+    int status;
+    json_t *value;
+};
+
+static void
+free_late(uv_handle_t *h)
+{
+    free(h->data);
+}
+
+static void
+on_late(uv_timer_t *t)
+{
+    struct late *l = t->data;
+    http_reply_json(l->req, l->status, l->value);
+    uv_close((uv_handle_t *)t, free_late);
+}
+
+bool
+plat_refused(const struct plat_fault *f, h2o_req_t *req)
+{
+    if (f->mode != PLAT_DOWN) {
+        return false;
+    }
+    http_reply_json(req, 503, json_pack("{ss}", "error", "unavailable"));
+    return true;
+}
+
+void
+plat_reply(struct platform *p, struct plat_fault *f, h2o_req_t *req,
+           bool effect, int status, json_t *value)
+{
+    if (f->mode == PLAT_LOSE && effect) {
+        if (f->lose_calls <= 1) {
+            f->mode = PLAT_UP;
+        }
+        f->lose_calls--;
+        json_decref(value);
+        http_reply_nothing(req, false);
+        return;
+    }
+    if (f->mode != PLAT_SLOW) {
+        http_reply_json(req, status, value);
+        return;
+    }
+    struct late *l = calloc(1, sizeof(*l));
+    CW_INVARIANT(l != NULL);
+    l->req = req;
+    l->status = status;
+    l->value = value;
+    uv_timer_init(p->loop, &l->timer);
+    l->timer.data = l;
+    uv_timer_start(&l->timer, on_late, f->slow_ms, 0);
+}
+
+bool
+plat_fault_set(struct plat_fault *f, const json_t *word, const json_t *body)
+{
+    static const char *const words[] = {"up", "down", "slow", "lose"};
+    if (word == NULL) {
+        return true;
+    }
+    for (int i = PLAT_UP; i <= PLAT_LOSE; i++) {
+        const char *z = json_string_value(word);
+        if (z != NULL && strcmp(z, words[i]) == 0) {
+            f->mode = (enum plat_mode)i;
+            f->lose_calls = (uint32_t)http_json_u64(body, "lose_calls", 1);
+            f->slow_ms = http_json_u64(body, "slow_ms", 1000);
+            return true;
+        }
+    }
+    return false;
+}
