Add budget, wave, VM operation and move decisions

The daemon needs to decide when VMs may be taken for maintenance and when they change pools. Each decision is a pure function of the log's state, the measured counts and the time; each rule has a parameter that turns it off.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -701,18 +701,356 @@
 /* policy: availability budget                                           */
 /* ===================================================================== */
 
+/* Requests of one service by outcome. */
+struct cw_counts {
+    uint64_t ok;
+    uint64_t failed;
+    uint64_t shed;
+    uint64_t unknown;
+};
+
+#define CW_BUDGET_FINE 64    /* one-minute buckets for the burn rates */
+#define CW_BUDGET_COARSE 256 /* buckets over the whole window */
+
+struct cw_budget_bucket {
+    int64_t slot; /* wall time divided by the bucket's length */
+    struct cw_counts counts;
+};
+
+/* Counts of one service over the rolling window of its document. The window
+ * ends at the time of a query, to the resolution of 1/256 of the window. */
+struct cw_budget {
+    double target;
+    cw_ms window_ms;
+    struct cw_budget_bucket fine[CW_BUDGET_FINE];
+    struct cw_budget_bucket coarse[CW_BUDGET_COARSE];
+};
+
+struct cw_budget_params {
+    cw_ms short_ms;    /* short burn window, default 5 min */
+    cw_ms long_ms;     /* long burn window, default 1 h, at most 1 h */
+    double burn_limit; /* short burn rate that stops a wave, default 14.4 */
+    uint64_t evidence; /* fewer bad requests prove nothing, default 10 */
+    /* A batch that is lost as a whole may use this share of what is left of
+     * the budget, default 0.1; 0 turns the limit off. */
+    double batch_share;
+    cw_ms vm_loss_ms; /* time until callers avoid a lost VM, default 5 s */
+    double headroom;  /* on top of the measured demand, default 0.2 */
+};
+
+/* The state of a budget at one moment. */
+struct cw_budget_report {
+    struct cw_counts counts; /* over the window */
+    double availability;     /* 1 when there were no requests */
+    double allowed;          /* failures that the target allows */
+    double used;
+    double left;       /* negative when overspent */
+    double burn_short; /* 1 = as fast as the target allows */
+    double burn_long;
+    double rate_per_s; /* requests, over the long burn window */
+    bool exhausted;
+    bool burning; /* too fast for planned stops */
+};
+
+struct cw_budget_params cw_budget_defaults(void);
+void cw_budget_init(struct cw_budget *b, double target, cw_ms window_ms);
+/* Adds counts that were taken at wall. Counts older than the window are
+ * dropped; the order of calls does not matter otherwise. */
+void cw_budget_add(struct cw_budget *b, cw_ms wall, struct cw_counts c);
+void cw_budget_read(const struct cw_budget *b,
+                    const struct cw_budget_params *p, cw_ms wall,
+                    struct cw_budget_report *out);
+
+/* VMs that a pool needs: the larger of vms_min and those that carry demand
+ * (average of slots in use or asked for) with the headroom. */
+uint32_t cw_vms_needed(const struct cw_budget_params *p, uint32_t vms_min,
+                       double demand, uint32_t slots);
+/* How many of the ready VMs may be out at once. */
+uint32_t cw_vms_spare(uint32_t ready, uint32_t needed);
+/* How many VMs the remaining budget lets a batch put at risk. At least 1 while
+ * the budget is not exhausted, because a planned stop is expected to cost
+ * nothing; UINT32_MAX without traffic or with the limit off. */
+uint32_t cw_budget_batch(const struct cw_budget_params *p,
+                         const struct cw_budget_report *r, uint32_t ready);
+
+/* Average of a quantity over the last minutes, from amounts that cover spans
+ * of time. */
+#define CW_TREND_BUCKETS 72
+#define CW_TREND_BUCKET_MS (15 * CW_SECOND)
+struct cw_trend {
+    int64_t slot[CW_TREND_BUCKETS];
+    double amount[CW_TREND_BUCKETS]; /* quantity times ms */
+};
+void cw_trend_init(struct cw_trend *t);
+/* Adds an amount (quantity times ms) spread evenly over [from, to). */
+void cw_trend_add(struct cw_trend *t, cw_ms from, cw_ms to, double amount);
+/* The average over the span that ends at wall, at most 17 min. */
+double cw_trend_average(const struct cw_trend *t, cw_ms wall, cw_ms span);
+
 /* ===================================================================== */
 /* policy: maintenance waves                                             */
 /* ===================================================================== */
 
+#define CW_WAVE_BATCH_MAX 64 /* VMs in one batch */
+#define CW_WAVE_VMS_MAX 4096 /* VMs in one pool */
+
+struct cw_wave_params {
+    cw_ms healthy_ms;       /* health before a resume, default 30 s */
+    cw_ms retry_ms;         /* before a VM is tried again, default 1 h */
+    cw_ms hold_wait_ms;     /* longest wait for another wave's hold, 1 h */
+    double deadline_share;  /* of maintain_every_ms, default 0.9 */
+    double earliest_share;  /* no VM younger than this, default 0.5 */
+    double open_share;      /* VMs due to open a wave, default 0.1 */
+    uint32_t first_limit;   /* batch limit of a new wave, default 2 */
+    uint32_t fixed_batch;   /* 0 = adapt; else the batch size, for the bench */
+    bool one_dc;            /* a batch stays within one data centre */
+    bool one_rack;          /* and in as few racks as it fits in */
+    bool check_capacity;    /* never more VMs out than the pool can spare */
+    bool check_budget;      /* nor more than the budget can lose */
+    bool hold;              /* stop on loss of health */
+    bool wait_for_others;   /* wait while a wave in another dc holds */
+    bool avoid_shared_rack; /* skip racks where another pool's VM is out */
+    bool spread;            /* spread due VMs evenly over time */
+};
+
+/* One VM of the pool. Views stay the caller's. */
+struct cw_wave_vm {
+    struct cw_str vm;
+    struct cw_str dc;
+    struct cw_str rack;
+    cw_ms maintained; /* wall time of the last maintenance, 0 = never */
+    cw_ms skipped;    /* wall time of the last failed or cancelled try, or 0 */
+    bool ready;       /* in service */
+    bool busy;        /* has an open operation of any kind */
+    bool taken;       /* had an operation in the open wave */
+};
+
+/* One operation of the open wave. */
+struct cw_wave_op {
+    uint64_t first_offset;
+    uint64_t last_offset;
+    cw_ms ended;          /* wall, 0 while open */
+    enum cw_op_step step; /* the last one */
+    struct cw_str vm;
+};
+
+/* A wave of another pool that is on hold, with the place of its last batch
+ * (empty when it had none). */
+struct cw_wave_hold {
+    struct cw_str dc;
+    struct cw_str rack;
+    cw_ms since; /* wall */
+};
+
+struct cw_wave_in {
+    cw_ms wall;
+    bool log_available;
+    bool window_open; /* cw_doc_window_open */
+    cw_ms maintain_every_ms;
+    size_t vm_count;
+    const struct cw_wave_vm *vms;
+    bool open; /* the pool has an open wave */
+    bool held;
+    cw_ms changed; /* wall time of its last record */
+    size_t op_count;
+    const struct cw_wave_op *ops; /* of the open wave, by first_offset */
+    uint32_t needed;              /* cw_vms_needed */
+    uint32_t budget_limit;        /* cw_budget_batch */
+    bool burning;
+    bool exhausted;
+    size_t hold_count;
+    const struct cw_wave_hold *holds;
+    size_t busy_rack_count;
+    const struct cw_str *busy_racks; /* with open operations of other pools */
+};
+
+/* What the holder of the pool remembers between calls. A new holder starts
+ * from zero and so waits for a full healthy_ms again. */
+struct cw_wave {
+    cw_ms healthy_since; /* wall, 0 = not healthy */
+};
+
+enum cw_wave_decision {
+    CW_WAVE_WAIT,   /* nothing to do; reason says why */
+    CW_WAVE_RECORD, /* append a wave record with action and reason */
+    CW_WAVE_START,  /* append a draining record for each VM picked */
+};
+
+struct cw_wave_out {
+    enum cw_wave_decision decision;
+    enum cw_wave_action action;
+    char reason[96];
+    uint32_t due;   /* VMs that may be taken now */
+    uint32_t limit; /* batch limit after failures and successes */
+    size_t count;
+    uint32_t picks[CW_WAVE_BATCH_MAX]; /* indices into in->vms */
+};
+
+struct cw_wave_params cw_wave_defaults(void);
+void cw_wave_init(struct cw_wave *w);
+/* Decides the next record of a pool's wave. */
+void cw_wave_decide(struct cw_wave *w, const struct cw_wave_params *p,
+                    const struct cw_wave_in *in, struct cw_wave_out *out);
+/* The batch limit that the wave's operations lead to. A batch is a run of
+ * operations that overlap, so every holder derives the same limit from the
+ * log. */
+uint32_t cw_wave_limit(const struct cw_wave_params *p, size_t op_count,
+                       const struct cw_wave_op *ops);
+/* Marks in due[0 .. vm_count-1] the VMs that are due, and returns their
+ * number. With p->spread the number grows evenly with time, so that each VM
+ * has its turn before deadline_share of maintain_every_ms. */
+uint32_t cw_wave_due(const struct cw_wave_params *p,
+                     const struct cw_wave_in *in, bool *due);
+
 /* ===================================================================== */
 /* policy: VM operations                                                 */
 /* ===================================================================== */
 
+enum cw_op_call {
+    CW_OP_CALL_DRAIN,
+    CW_OP_CALL_UNDRAIN,
+    CW_OP_CALL_REBOOT,
+    CW_OP_CALL_ASSIGN,
+};
+
+enum cw_op_vm_state {
+    CW_OP_VM_READY,
+    CW_OP_VM_DRAINING,
+    CW_OP_VM_DRAINED,
+    CW_OP_VM_REBOOTING,
+};
+
+struct cw_op_params {
+    cw_ms return_ms;     /* from reboot to ready, default 5 min */
+    bool check_confirm;  /* no call without confirmed membership */
+    bool check_members;  /* drained needs the report of every member */
+    bool check_inflight; /* and none in flight at the VM */
+    bool forward_only;   /* never cancelled after rebooting or assigning */
+};
+
+/* Pool control's answer about the VM. */
+struct cw_op_status {
+    bool known; /* answered after the last change of the operation */
+    enum cw_op_vm_state state;
+    struct cw_str pool;
+    uint64_t incarnation;
+    uint32_t in_flight;
+    uint64_t fence; /* highest fence seen for the VM, 0 if not kept */
+};
+
+struct cw_op_in {
+    cw_ms wall;
+    enum cw_op_kind kind;
+    enum cw_op_step step; /* the last one in the log */
+    uint64_t step_offset; /* of that record */
+    cw_ms step_wall;      /* of that record */
+    struct cw_str to;     /* pool that a move goes to */
+    /* Incarnation of the VM when the operation began. */
+    uint64_t incarnation;
+    cw_ms drain_ms; /* the document's bound */
+    bool log_available;
+    bool confirmed; /* membership confirmed at most 3 s ago */
+    uint32_t members;
+    uint32_t members_drained; /* that applied the drain, with none in flight */
+    /* Not NULL: end the operation if it can still be cancelled. */
+    const char *give_up;
+    /* The last call of this step was answered well (its response came). */
+    bool call_answered;
+    bool vm_ready; /* the endpoint answered a readiness probe */
+    struct cw_op_status status;
+};
+
+enum cw_op_action {
+    CW_OP_WAIT,    /* nothing to do now; reason says why */
+    CW_OP_ASK,     /* ask pool control for the VM's status */
+    CW_OP_CALL,    /* make the call with the fence */
+    CW_OP_APPEND,  /* append the record of step, with result */
+    CW_OP_SETTLED, /* ended, and pool control agrees */
+};
+
+struct cw_op_out {
+    enum cw_op_action action;
+    enum cw_op_call call;
+    uint64_t fence;
+    enum cw_op_step step;
+    char reason[96]; /* result of an ending step, else why it waits */
+};
+
+struct cw_op_params cw_op_defaults(void);
+/* Decides the next action of the holder of an operation. It depends only on
+ * the log and on pool control's answers, so a new holder continues from any
+ * step, and a lost response is resolved by asking for the status. */
+void cw_op_decide(const struct cw_op_params *p, const struct cw_op_in *in,
+                  struct cw_op_out *out);
+/* True for done, cancelled and failed. */
+bool cw_op_ended(enum cw_op_step s);
+/* True when an operation may go from one step to the other. */
+bool cw_op_follows(enum cw_op_kind kind, enum cw_op_step from,
+                   enum cw_op_step to);
+
 /* ===================================================================== */
 /* policy: moves between pools                                           */
 /* ===================================================================== */
 
+struct cw_spare_params {
+    double headroom;    /* on top of demand, default 0.2 */
+    double take_above;  /* demand over capacity to take, default 1.15 */
+    double give_below;  /* demand over capacity to give, default 0.70 */
+    double trend_limit; /* bound of the short over the long average, 1.1 */
+    cw_ms horizon_ms;   /* time in which a move has to pay off, 10 min */
+    cw_ms move_ms;      /* a VM's time out of service, default 120 s */
+    double move_cost;   /* weight of a move's cost, default 1 */
+    uint32_t bursts;    /* services that can burst at once */
+    bool hysteresis;    /* off: take at 1.0, give when one VM is idle */
+    bool use_trend;     /* off: react to the current demand */
+    bool check_payoff;  /* off: any shortage moves a VM */
+    bool one_per_pool;  /* at most one open move per pool */
+    bool enabled;       /* off: no moves at all */
+};
+
+/* One pool. Demands are averages of slots in use or asked for. */
+struct cw_spare_pool {
+    struct cw_str pool;
+    uint32_t vms;   /* members of the pool */
+    uint32_t ready; /* of them in service */
+    uint32_t vms_min;
+    uint32_t vms_max;
+    uint32_t slots; /* per VM */
+    uint32_t priority;
+    bool spare;   /* lends its VMs */
+    bool moving;  /* source or target of an open move */
+    bool held;    /* its wave is on hold, or it has unexplained losses */
+    double now;   /* current demand; used only without use_trend */
+    double avg2;  /* over 2 min */
+    double avg15; /* over 15 min */
+    double burst; /* largest demand of a burst, for the reserve */
+};
+
+#define CW_SPARE_MOVES_MAX 64
+
+struct cw_spare_move {
+    size_t from; /* indices of pools */
+    size_t to;
+    char cause[96];
+};
+
+struct cw_spare_out {
+    size_t count;
+    struct cw_spare_move moves[CW_SPARE_MOVES_MAX];
+    uint32_t reserve; /* VMs that the spare pool keeps for bursts */
+};
+
+struct cw_spare_params cw_spare_defaults(void);
+/* Decides which moves to begin. The result depends only on the arguments, so
+ * that every holder finds the same moves and begins those from its pools. */
+void cw_spare_decide(const struct cw_spare_params *p, size_t count,
+                     const struct cw_spare_pool *pools,
+                     struct cw_spare_out *out);
+/* VMs that the spare pool keeps: those that the largest p->bursts bursts
+ * exceed their pools by. */
+uint32_t cw_spare_reserve(const struct cw_spare_params *p, size_t count,
+                          const struct cw_spare_pool *pools);
+
 /* ===================================================================== */
 /* policy: placement of jobs                                             */
 /* ===================================================================== */
--- /dev/null
+++ b/packages/policy/cw_budget.c
@@ -0,0 +1,217 @@
+/* Availability budget: failures that a target still allows, how fast they are
+ * used, and how many VMs may be out at once. */
+#include "cuminwalk.h"
+
+#include <math.h>
+#include <string.h>
+
+struct cw_budget_params
+cw_budget_defaults(void)
+{
+    return (struct cw_budget_params){
+        .short_ms = 5 * CW_MINUTE,
+        .long_ms = CW_HOUR,
+        /* At 14.4 times the allowed rate an hour uses 2% of a 30-day
+         * budget. */
+        .burn_limit = 14.4,
+        .evidence = 10,
+        .batch_share = 0.1,
+        .vm_loss_ms = 5 * CW_SECOND,
+        .headroom = 0.2,
+    };
+}
+
+void
+cw_budget_init(struct cw_budget *b, double target, cw_ms window_ms)
+{
+    memset(b, 0, sizeof(*b));
+    b->target = target;
+    b->window_ms = window_ms;
+}
+
+static cw_ms
+coarse_len(const struct cw_budget *b)
+{
+    cw_ms len = b->window_ms / CW_BUDGET_COARSE;
+    return len > 0 ? len : 1;
+}
+
+static void
+counts_add(struct cw_counts *to, const struct cw_counts *c)
+{
+    to->ok += c->ok;
+    to->failed += c->failed;
+    to->shed += c->shed;
+    to->unknown += c->unknown;
+}
+
+static uint64_t
+counts_bad(const struct cw_counts *c)
+{
+    return c->failed + c->shed + c->unknown;
+}
+
+/* A ring entry belongs to one slot of time; a newer slot replaces it and an
+ * older one is dropped. */
+static void
+ring_add(struct cw_budget_bucket *ring, int64_t size, int64_t slot,
+         const struct cw_counts *c)
+{
+    struct cw_budget_bucket *e = &ring[slot % size];
+    if (e->slot > slot) {
+        return;
+    }
+    if (e->slot < slot) {
+        e->slot = slot;
+        memset(&e->counts, 0, sizeof(e->counts));
+    }
+    counts_add(&e->counts, c);
+}
+
+static struct cw_counts
+ring_sum(const struct cw_budget_bucket *ring, int64_t size, int64_t last,
+         int64_t slots)
+{
+    struct cw_counts sum = {0};
+    for (int64_t i = 0; i < size; i++) {
+        if (ring[i].slot <= last && ring[i].slot > last - slots) {
+            counts_add(&sum, &ring[i].counts);
+        }
+    }
+    return sum;
+}
+
+void
+cw_budget_add(struct cw_budget *b, cw_ms wall, struct cw_counts c)
+{
+    if (wall < 0) {
+        return;
+    }
+    ring_add(b->fine, CW_BUDGET_FINE, wall / CW_MINUTE, &c);
+    ring_add(b->coarse, CW_BUDGET_COARSE, wall / coarse_len(b), &c);
+}
+
+static double
+burn(const struct cw_budget *b, const struct cw_counts *c)
+{
+    double all = (double)(c->ok + counts_bad(c));
+    return all > 0 ? (double)counts_bad(c) / all / (1.0 - b->target) : 0;
+}
+
+void
+cw_budget_read(const struct cw_budget *b, const struct cw_budget_params *p,
+               cw_ms wall, struct cw_budget_report *out)
+{
+    memset(out, 0, sizeof(*out));
+    out->counts = ring_sum(b->coarse, CW_BUDGET_COARSE, wall / coarse_len(b),
+                           CW_BUDGET_COARSE);
+    int64_t minute = wall / CW_MINUTE;
+    struct cw_counts s =
+        ring_sum(b->fine, CW_BUDGET_FINE, minute, p->short_ms / CW_MINUTE);
+    struct cw_counts l =
+        ring_sum(b->fine, CW_BUDGET_FINE, minute, p->long_ms / CW_MINUTE);
+    uint64_t bad = counts_bad(&out->counts);
+    double all = (double)(out->counts.ok + bad);
+    out->used = (double)bad;
+    out->availability = all > 0 ? (double)out->counts.ok / all : 1;
+    out->allowed = (1.0 - b->target) * all;
+    out->left = out->allowed - out->used;
+    out->burn_short = burn(b, &s);
+    out->burn_long = burn(b, &l);
+    out->rate_per_s =
+        (double)(l.ok + counts_bad(&l)) * 1000 / (double)p->long_ms;
+    /* A handful of failures in a quiet service is within chance. */
+    out->exhausted = bad >= p->evidence && out->left < 0;
+    out->burning = counts_bad(&s) >= p->evidence &&
+                   out->burn_short >= p->burn_limit && out->burn_long >= 1;
+}
+
+uint32_t
+cw_vms_needed(const struct cw_budget_params *p, uint32_t vms_min,
+              double demand, uint32_t slots)
+{
+    if (slots == 0 || !(demand > 0)) {
+        return vms_min;
+    }
+    double vms = ceil(demand * (1 + p->headroom) / slots - 1e-9);
+    if (vms >= (double)UINT32_MAX) {
+        return UINT32_MAX;
+    }
+    return (uint32_t)vms > vms_min ? (uint32_t)vms : vms_min;
+}
+
+uint32_t
+cw_vms_spare(uint32_t ready, uint32_t needed)
+{
+    return ready > needed ? ready - needed : 0;
+}
+
+uint32_t
+cw_budget_batch(const struct cw_budget_params *p,
+                const struct cw_budget_report *r, uint32_t ready)
+{
+    if (p->batch_share <= 0) {
+        return UINT32_MAX;
+    }
+    if (r->exhausted) {
+        return 0;
+    }
+    if (r->rate_per_s <= 0 || ready == 0) {
+        return UINT32_MAX;
+    }
+    double loss = r->rate_per_s / ready * (double)p->vm_loss_ms / 1000;
+    double vms = floor(p->batch_share * r->left / loss);
+    if (vms < 1) {
+        return 1;
+    }
+    return vms >= (double)UINT32_MAX ? UINT32_MAX : (uint32_t)vms;
+}
+
+void
+cw_trend_init(struct cw_trend *t)
+{
+    memset(t, 0, sizeof(*t));
+}
+
+void
+cw_trend_add(struct cw_trend *t, cw_ms from, cw_ms to, double amount)
+{
+    if (from < 0 || to <= from || !(amount > 0)) {
+        return;
+    }
+    double per_ms = amount / (double)(to - from);
+    /* Spans longer than the ring would only overwrite their own start. */
+    cw_ms longest = (CW_TREND_BUCKETS - 1) * CW_TREND_BUCKET_MS;
+    cw_ms at = to - from > longest ? to - longest : from;
+    while (at < to) {
+        int64_t slot = at / CW_TREND_BUCKET_MS;
+        cw_ms end = (slot + 1) * CW_TREND_BUCKET_MS;
+        end = end < to ? end : to;
+        size_t i = (size_t)(slot % CW_TREND_BUCKETS);
+        if (t->slot[i] < slot) {
+            t->slot[i] = slot;
+            t->amount[i] = 0;
+        }
+        if (t->slot[i] == slot) {
+            t->amount[i] += per_ms * (double)(end - at);
+        }
+        at = end;
+    }
+}
+
+double
+cw_trend_average(const struct cw_trend *t, cw_ms wall, cw_ms span)
+{
+    int64_t slots = span / CW_TREND_BUCKET_MS;
+    int64_t last = wall / CW_TREND_BUCKET_MS; /* still filling: left out */
+    if (slots <= 0) {
+        return 0;
+    }
+    double sum = 0;
+    for (size_t i = 0; i < CW_TREND_BUCKETS; i++) {
+        if (t->slot[i] < last && t->slot[i] >= last - slots) {
+            sum += t->amount[i];
+        }
+    }
+    return sum / (double)(slots * CW_TREND_BUCKET_MS);
+}
--- /dev/null
+++ b/packages/policy/cw_op.c
@@ -0,0 +1,266 @@
+/* The steps of a VM operation: from drain over reboot or assignment back into
+ * service. */
+#include "cuminwalk.h"
+
+#include <string.h>
+
+struct cw_op_params
+cw_op_defaults(void)
+{
+    return (struct cw_op_params){
+        .return_ms = 5 * CW_MINUTE,
+        .check_confirm = true,
+        .check_members = true,
+        .check_inflight = true,
+        .forward_only = true,
+    };
+}
+
+bool
+cw_op_ended(enum cw_op_step s)
+{
+    return s == CW_STEP_DONE || s == CW_STEP_CANCELLED || s == CW_STEP_FAILED;
+}
+
+bool
+cw_op_follows(enum cw_op_kind kind, enum cw_op_step from, enum cw_op_step to)
+{
+    enum cw_op_step stop =
+        kind == CW_OP_MOVE ? CW_STEP_ASSIGNING : CW_STEP_REBOOTING;
+    switch (to) {
+    case CW_STEP_DRAINING:
+        return false;
+    case CW_STEP_DRAINED:
+        return from == CW_STEP_DRAINING;
+    case CW_STEP_REBOOTING:
+    case CW_STEP_ASSIGNING:
+        return from == CW_STEP_DRAINED && to == stop;
+    case CW_STEP_RETURNING:
+        return from == stop;
+    case CW_STEP_DONE:
+        return from == CW_STEP_RETURNING;
+    case CW_STEP_CANCELLED:
+        return from == CW_STEP_DRAINING || from == CW_STEP_DRAINED;
+    case CW_STEP_FAILED:
+        /* From assigning on the log has the VM in its new pool, so a move is
+         * driven until pool control agrees. */
+        return from == CW_STEP_REBOOTING || from == CW_STEP_RETURNING;
+    }
+    return false;
+}
+
+static void
+wait_for(struct cw_op_out *out, const char *why)
+{
+    out->action = CW_OP_WAIT;
+    snprintf(out->reason, sizeof(out->reason), "%s", why);
+}
+
+/* A record needs the log; the operation keeps its step until it is back. */
+static void
+append(const struct cw_op_in *in, struct cw_op_out *out, enum cw_op_step step,
+       const char *result)
+{
+    if (!in->log_available) {
+        wait_for(out, "log unavailable");
+        return;
+    }
+    out->action = CW_OP_APPEND;
+    out->step = step;
+    snprintf(out->reason, sizeof(out->reason), "%s", result);
+}
+
+/* The record of the current step is what allows the call, so its offset is
+ * the fence. */
+static void
+call(const struct cw_op_in *in, struct cw_op_out *out, enum cw_op_call what)
+{
+    out->action = CW_OP_CALL;
+    out->call = what;
+    out->fence = in->step_offset;
+}
+
+static bool
+may_cancel(const struct cw_op_params *p, const struct cw_op_in *in)
+{
+    return in->step == CW_STEP_DRAINING || in->step == CW_STEP_DRAINED ||
+           (!p->forward_only && !cw_op_ended(in->step));
+}
+
+/* True when nothing runs at the VM or on its way there. */
+static bool
+is_empty(const struct cw_op_params *p, const struct cw_op_in *in)
+{
+    bool members = in->members > 0 && in->members_drained >= in->members;
+    return (members || !p->check_members) &&
+           (in->status.in_flight == 0 || !p->check_inflight);
+}
+
+static void
+decide_draining(const struct cw_op_params *p, const struct cw_op_in *in,
+                struct cw_op_out *out)
+{
+    if (in->status.state != CW_OP_VM_READY && is_empty(p, in)) {
+        append(in, out, CW_STEP_DRAINED, "");
+    }
+    else if (in->wall - in->step_wall >= in->drain_ms) {
+        append(in, out, CW_STEP_CANCELLED, "drain_ms passed");
+        snprintf(out->reason, sizeof(out->reason),
+                 "drain_ms passed: %u in flight, %u of %u members drained",
+                 in->status.in_flight, in->members_drained, in->members);
+    }
+    else if (in->status.state == CW_OP_VM_READY) {
+        call(in, out, CW_OP_CALL_DRAIN);
+    }
+    else {
+        snprintf(out->reason, sizeof(out->reason),
+                 "%u in flight, %u of %u members drained",
+                 in->status.in_flight, in->members_drained, in->members);
+    }
+}
+
+static void
+decide_drained(const struct cw_op_params *p, const struct cw_op_in *in,
+               struct cw_op_out *out)
+{
+    if (in->status.state == CW_OP_VM_READY) {
+        append(in, out, CW_STEP_CANCELLED, "VM went back into service");
+    }
+    else if (!is_empty(p, in)) {
+        if (in->wall - in->step_wall >= in->drain_ms) {
+            append(in, out, CW_STEP_CANCELLED, "in flight again after drain");
+        }
+        else {
+            wait_for(out, "in flight again after drain");
+        }
+    }
+    else {
+        append(in, out,
+               in->kind == CW_OP_MOVE ? CW_STEP_ASSIGNING : CW_STEP_REBOOTING,
+               "");
+    }
+}
+
+/* The VM has to be drained and empty at the moment of the call. If it is in
+ * service again under its old incarnation it is drained once more, because
+ * the operation is only driven forward. */
+static void
+decide_stop(const struct cw_op_params *p, const struct cw_op_in *in,
+            struct cw_op_out *out)
+{
+    bool move = in->kind == CW_OP_MOVE;
+    bool taken = move ? cw_str_eq(in->status.pool, in->to)
+                      : in->status.incarnation > in->incarnation;
+    if (taken || (!move && in->status.state == CW_OP_VM_REBOOTING)) {
+        append(in, out, CW_STEP_RETURNING, "");
+    }
+    else if (!move &&
+             in->wall - in->step_wall >= in->drain_ms + p->return_ms) {
+        append(in, out, CW_STEP_FAILED, "pool control did not carry it out");
+    }
+    else if (in->status.state == CW_OP_VM_READY) {
+        call(in, out, CW_OP_CALL_DRAIN);
+    }
+    else if (!is_empty(p, in)) {
+        wait_for(out, "in flight again before the stop");
+    }
+    else {
+        call(in, out, move ? CW_OP_CALL_ASSIGN : CW_OP_CALL_REBOOT);
+    }
+}
+
+static void
+decide_returning(const struct cw_op_params *p, const struct cw_op_in *in,
+                 struct cw_op_out *out)
+{
+    enum cw_op_vm_state st = in->status.state;
+    if (st == CW_OP_VM_READY && in->vm_ready) {
+        append(in, out, CW_STEP_DONE, "in service");
+    }
+    else if (in->wall - in->step_wall >= p->return_ms) {
+        append(in, out, CW_STEP_FAILED,
+               st == CW_OP_VM_READY ? "endpoint not ready in time"
+                                    : "VM did not return in time");
+    }
+    else if (st == CW_OP_VM_DRAINED || st == CW_OP_VM_DRAINING) {
+        call(in, out, CW_OP_CALL_UNDRAIN);
+    }
+    else {
+        wait_for(out, st == CW_OP_VM_READY ? "endpoint not ready yet"
+                                           : "VM rebooting");
+    }
+}
+
+/* After cancelled or failed the VM goes back into service. The call is made
+ * even when the VM looks ready: it raises the fence at pool control, so that a
+ * drain or reboot call still on its way is refused. */
+static void
+decide_undo(const struct cw_op_in *in, struct cw_op_out *out)
+{
+    if (in->status.state == CW_OP_VM_REBOOTING) {
+        wait_for(out, "VM rebooting");
+    }
+    else if (in->status.state == CW_OP_VM_READY &&
+             (in->call_answered || in->status.fence >= in->step_offset)) {
+        out->action = CW_OP_SETTLED;
+    }
+    else {
+        call(in, out, CW_OP_CALL_UNDRAIN);
+    }
+}
+
+static void
+decide_with_status(const struct cw_op_params *p, const struct cw_op_in *in,
+                   struct cw_op_out *out)
+{
+    switch (in->step) {
+    case CW_STEP_DRAINING:
+        decide_draining(p, in, out);
+        break;
+    case CW_STEP_DRAINED:
+        decide_drained(p, in, out);
+        break;
+    case CW_STEP_REBOOTING:
+    case CW_STEP_ASSIGNING:
+        decide_stop(p, in, out);
+        break;
+    case CW_STEP_RETURNING:
+        decide_returning(p, in, out);
+        break;
+    case CW_STEP_CANCELLED:
+    case CW_STEP_FAILED:
+        decide_undo(in, out);
+        break;
+    case CW_STEP_DONE:
+        out->action = CW_OP_SETTLED;
+        break;
+    }
+}
+
+void
+cw_op_decide(const struct cw_op_params *p, const struct cw_op_in *in,
+             struct cw_op_out *out)
+{
+    memset(out, 0, sizeof(*out));
+    if (in->step == CW_STEP_DONE) {
+        out->action = CW_OP_SETTLED;
+        return;
+    }
+    if (in->give_up != NULL && may_cancel(p, in)) {
+        append(in, out, CW_STEP_CANCELLED, in->give_up);
+        return;
+    }
+    if (p->check_confirm && !in->confirmed) {
+        wait_for(out, "membership not confirmed");
+        return;
+    }
+    if (!in->status.known) {
+        out->action = CW_OP_ASK;
+        return;
+    }
+    if (in->status.fence > in->step_offset) {
+        wait_for(out, "a later record is in effect");
+        return;
+    }
+    decide_with_status(p, in, out);
+}
