Declare the request policies

The daemon needs the interfaces of slot partition, routing, admission, retries and idempotency keys before their code exists. This adds the declarations with their contracts to the public header.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -681,22 +681,620 @@
 /* policy: slot partition                                                */
 /* ===================================================================== */
 
+#define CW_SLOTS_MAX 64 /* slots of one endpoint, one bit each in a mask */
+
+/* A daemon in force, as the replicated state names it. */
+struct cw_slot_member {
+    struct cw_name daemon;
+    uint64_t incarnation;
+    struct cw_name dc;
+};
+
+/* An endpoint whose slots are divided over the members. */
+struct cw_slot_endpoint {
+    struct cw_name vm;
+    struct cw_name dc;
+    uint32_t slots;       /* 1 .. CW_SLOTS_MAX */
+    uint32_t connections; /* over all daemons */
+};
+
+struct cw_slots_params {
+    uint32_t load_pct;  /* bound per member and endpoint, in percent of the
+                         * even share, rounded up; 0 = no bound */
+    cw_ms guard_ms;     /* wait before a gained slot, default 4000 */
+    cw_ms silent_ms;    /* confirmation limit, default 3000 */
+    bool wait_peers;    /* gained slots also wait for peers' offsets */
+    bool early_release; /* a slot that all peers gave up needs no guard */
+    bool count_while_in_use; /* slots lost while in use are reported as busy */
+};
+struct cw_slots_params cw_slots_defaults(void);
+
+/* The view that a partition is computed from. Members are sorted by daemon,
+ * endpoints by VM, both without duplicates. */
+struct cw_slots_view {
+    uint64_t offset; /* of the config record that led to this view */
+    bool lapse;      /* that record is a lapse, so a member was cut out */
+    size_t member_count;
+    const struct cw_slot_member *members;
+    size_t endpoint_count;
+    const struct cw_slot_endpoint *endpoints;
+};
+
+/* This daemon's part of one endpoint. The address stays the same until the
+ * endpoint is out of the view and no slot of it is in use. */
+struct cw_slot_entry {
+    struct cw_name vm;
+    uint32_t slots;
+    uint32_t connections; /* this daemon's share */
+    uint64_t held;        /* slots that belong to this daemon */
+    uint64_t pending;     /* held, but not yet usable */
+    uint64_t in_use;      /* may hold slots that were lost meanwhile */
+    uint64_t gain_offset; /* of the view that last added to pending */
+    cw_ms gained;         /* when that view was applied */
+    bool gone;            /* out of the view, kept for in_use */
+};
+
+/* Slots of one endpoint that a daemon still uses after losing them. */
+struct cw_slot_busy {
+    uint64_t vm_hash; /* cw_slots_vm_hash */
+    uint64_t mask;
+};
+
+/* What a peer's last heartbeat said. */
+struct cw_slot_peer {
+    struct cw_name daemon;
+    uint64_t incarnation;
+    uint64_t applied; /* config offset */
+    size_t busy_count;
+    struct cw_slot_busy *busy;
+};
+
+/* The slot table of one daemon. Fields may be read; only the functions below
+ * change them.
+ *
+ * A gained slot is usable when
+ * - every other member has sent a heartbeat whose applied offset is at or
+ *   above the offset of the gain and which does not list the slot as busy;
+ * - and, when a member was cut out by a lapse (or this is the first view), the
+ *   guard time has passed and the peers have known of it for silent_ms, so
+ *   that the lapsed member can no longer count itself confirmed.
+ * Without wait_peers only the guard time counts. */
+struct cw_slots {
+    struct cw_slots_params params;
+    struct cw_name self;
+    uint64_t incarnation;
+    bool confirmed; /* false: no slot is usable */
+    uint64_t offset;
+    uint64_t lapse_offset; /* last view that cut a member out */
+    cw_ms lapse_applied;
+    cw_ms lapse_known;    /* all peers had applied it; -1 = not yet */
+    size_t pending_count; /* entries with pending slots */
+    size_t count;
+    struct cw_slot_entry **items; /* sorted by VM */
+    size_t peer_count;
+    struct cw_slot_peer *peers; /* other members, sorted by daemon */
+};
+
+void cw_slots_init(struct cw_slots *t, struct cw_str self,
+                   uint64_t incarnation, struct cw_slots_params params);
+void cw_slots_finish(struct cw_slots *t);
+
+/* Divides the slots of each endpoint anew. Called after each config record
+ * that changes the members or an endpoint's slot count, in log order and
+ * without skipping one: a skipped view could hide that a slot was another
+ * member's in between. After loading a snapshot over an existing table call
+ * cw_slots_reset first. The result depends on the view alone. When this daemon
+ * is not among the members, it holds nothing. CW_ERR_NOMEM leaves the table
+ * without any held slot. */
+enum cw_status cw_slots_update(struct cw_slots *t,
+                               const struct cw_slots_view *view, cw_ms now);
+/* Drops every held slot; slots in use stay counted until released. incarnation
+ * is the daemon's, which a rejoin changes. */
+void cw_slots_reset(struct cw_slots *t, uint64_t incarnation);
+/* Sets whether the membership is confirmed. */
+void cw_slots_confirm(struct cw_slots *t, bool confirmed);
+/* Notes a peer's heartbeat: the offset it has applied and the slots that it
+ * has lost but still uses, both as of the same moment. Ignored for daemons and
+ * incarnations that are not members. */
+enum cw_status cw_slots_heard(struct cw_slots *t, struct cw_str daemon,
+                              uint64_t incarnation, uint64_t applied,
+                              const struct cw_slot_busy *busy,
+                              size_t busy_count, cw_ms now);
+/* Makes gained slots usable whose conditions hold; returns their number.
+ * Called after cw_slots_heard and on a timer while pending_count > 0. */
+size_t cw_slots_settle(struct cw_slots *t, cw_ms now);
+/* Takes the lowest usable slot of an endpoint for one request; -1 if none. */
+int cw_slots_take(struct cw_slots *t, struct cw_slot_entry *e);
+/* Gives a slot back after the response has ended or the request is known not
+ * to run. Frees e when the endpoint is gone and this was its last slot. */
+void cw_slots_release(struct cw_slots *t, struct cw_slot_entry *e, int slot);
+
+/* Queries. */
+struct cw_slot_entry *cw_slots_find(const struct cw_slots *t,
+                                    struct cw_str vm);
+/* Slots of e that a new request may use now. */
+uint32_t cw_slots_free(const struct cw_slots *t,
+                       const struct cw_slot_entry *e);
+/* Slots of e that are held and usable, in use or not. */
+uint32_t cw_slots_usable(const struct cw_slots *t,
+                         const struct cw_slot_entry *e);
+/* Lists the lost slots still in use, for the heartbeat; returns how many
+ * entries there are, of which at most max are written. */
+size_t cw_slots_busy(const struct cw_slots *t, struct cw_slot_busy *out,
+                     size_t max);
+uint64_t cw_slots_vm_hash(struct cw_str vm);
+/* Bytes of memory that the table uses. */
+size_t cw_slots_memory(const struct cw_slots *t);
+/* Computes the holder of each slot of one endpoint: owner[i] is an index into
+ * members. Returns false when there are no members. */
+bool cw_slots_owners(const struct cw_slot_member *members, size_t count,
+                     const struct cw_slot_endpoint *ep, uint32_t load_pct,
+                     uint16_t owner[static CW_SLOTS_MAX]);
+
 /* ===================================================================== */
 /* policy: endpoint choice, ejection, adaptive limits, leaving endpoints */
 /* ===================================================================== */
 
+/* How a request to an endpoint ended, as the endpoint's health sees it. */
+enum cw_ep_result {
+    CW_EP_OK,       /* a response that is not a server error */
+    CW_EP_FAILED,   /* failed connect, cut, timeout or server error */
+    CW_EP_FULL,     /* the endpoint refused: full */
+    CW_EP_DRAINING, /* the endpoint refused: draining */
+    CW_EP_NEUTRAL,  /* the caller went away; says nothing of the endpoint */
+};
+
+struct cw_eject_params {
+    uint32_t consecutive; /* failures in a row, default 5; 0 = off */
+    double rate;          /* share of failures, default 0.5; 0 = off */
+    uint32_t rate_min;    /* requests needed for the rate, default 10 */
+    cw_ms window_ms;      /* time that the rate looks back, default 10000 */
+    cw_ms first_ms;       /* default 5000 */
+    cw_ms longest_ms;     /* default 60000 */
+    double max_share;     /* panic above this share, default 1/3 */
+};
+struct cw_eject_params cw_eject_defaults(void);
+
+/* Ejection state of one endpoint; zeroed memory is a healthy endpoint. */
+struct cw_eject {
+    uint32_t in_a_row;
+    uint32_t ok[2]; /* counts of the current and the previous half window */
+    uint32_t failed[2];
+    cw_ms half_start;
+    cw_ms until;  /* end of the ejection */
+    cw_ms length; /* of the last ejection, 0 = none */
+};
+
+/* Counts a result and returns true when it ejects the endpoint. The length
+ * doubles unless the endpoint stayed in for as long as it was last out. */
+bool cw_eject_note(struct cw_eject *e, const struct cw_eject_params *p,
+                   bool failed, cw_ms now);
+bool cw_eject_active(const struct cw_eject *e, cw_ms now);
+
+struct cw_limit_params {
+    bool enabled;
+    double slow_factor; /* times the pool's average latency, default 2 */
+    double decrease;    /* factor, default 0.9 */
+    double increase;    /* share regained per second, default 0.05 */
+    cw_ms every_ms;     /* shortest time between decreases, default 1000 */
+    double lowest;      /* smallest share of the slots, default 0.1 */
+};
+struct cw_limit_params cw_limit_defaults(void);
+
+/* Adaptive limit of one endpoint: the share of its held slots in use at most.
+ */
+struct cw_limit {
+    double share; /* lowest .. 1 */
+    cw_ms changed;
+};
+
+void cw_limit_init(struct cw_limit *l, cw_ms now);
+/* Adjusts the limit after a response. */
+void cw_limit_note(struct cw_limit *l, const struct cw_limit_params *p,
+                   double latency_ms, double pool_latency_ms, cw_ms now);
+/* Slots that may be in use of those held: at least 1 of any held. */
+uint32_t cw_limit_slots(const struct cw_limit *l,
+                        const struct cw_limit_params *p, uint32_t held);
+
+/* Where a leaving signal came from. */
+enum cw_leaving_source {
+    CW_LEAVING_OP,      /* operation in the replicated state */
+    CW_LEAVING_LIST,    /* the platform's VM list */
+    CW_LEAVING_PEER,    /* a peer's heartbeat */
+    CW_LEAVING_REFUSED, /* the endpoint's refusal: draining */
+    CW_LEAVING_PROBE,   /* failed readiness */
+};
+#define CW_LEAVING_SOURCES 5
+
+struct cw_leaving_entry {
+    struct cw_name vm;
+    uint64_t incarnation;
+    uint8_t signals; /* bit per cw_leaving_source; 0 = cancelled */
+    enum cw_leaving_source first; /* the earliest signal */
+    cw_ms since;
+    cw_ms settle_until; /* after a cancelled operation: lagging signals from
+                         * lists, peers and refusals are ignored until then */
+};
+
+struct cw_leaving_params {
+    bool sticky; /* false: the last word of the VM list counts */
+    /* Time after a cancelled operation in which only operations count: the
+     * VM list and the peers still repeat the drain. Default 10000. */
+    cw_ms settle_ms;
+};
+struct cw_leaving_params cw_leaving_defaults(void);
+
+/* Endpoints known to be leaving, one entry per VM with its newest incarnation,
+ * sorted by VM. */
+struct cw_leaving {
+    struct cw_leaving_params params;
+    size_t count;
+    size_t cap;
+    struct cw_leaving_entry *items;
+};
+
+void cw_leaving_init(struct cw_leaving *l, struct cw_leaving_params params);
+void cw_leaving_finish(struct cw_leaving *l);
+/* Notes a signal. *first is true when the endpoint was not leaving before;
+ * the daemon then stops new work and reports it in its heartbeats. A signal
+ * for an older incarnation than one seen is ignored. */
+enum cw_status cw_leaving_note(struct cw_leaving *l, struct cw_str vm,
+                               uint64_t incarnation,
+                               enum cw_leaving_source source, cw_ms now,
+                               bool *first);
+/* The VM list says that the endpoint is live. Changes nothing while sticky. */
+void cw_leaving_list_live(struct cw_leaving *l, struct cw_str vm,
+                          uint64_t incarnation);
+/* The endpoint answered its readiness probe: withdraws a probe signal and no
+ * other, so that a pause is not taken for a departure. */
+void cw_leaving_probe_ok(struct cw_leaving *l, struct cw_str vm,
+                         uint64_t incarnation);
+/* The replicated state shows that the operation was cancelled: the only way
+ * back for the same incarnation. */
+void cw_leaving_cancelled(struct cw_leaving *l, struct cw_str vm,
+                          uint64_t incarnation, cw_ms now);
+/* True for the noted incarnation and for every older one. */
+bool cw_leaving_is(const struct cw_leaving *l, struct cw_str vm,
+                   uint64_t incarnation);
+/* Drops the entry of a VM that the state no longer has. */
+void cw_leaving_forget(struct cw_leaving *l, struct cw_str vm);
+
+struct cw_route_params {
+    bool two_choices;    /* false: one random endpoint */
+    cw_ms slow_start_ms; /* default 10000; 0 = off */
+    double smoothing;    /* weight of a new latency sample, default 0.2 */
+    struct cw_eject_params eject;
+    struct cw_limit_params limit;
+};
+struct cw_route_params cw_route_defaults(void);
+
+/* One endpoint as this daemon's router sees it. The daemon owns the memory and
+ * may embed it; cw_endpoint_init sets every field. */
+struct cw_endpoint {
+    struct cw_slot_entry *slots;
+    uint64_t incarnation;
+    uint32_t in_flight; /* of this daemon */
+    double latency_ms;  /* moving average; 0 = no sample yet */
+    cw_ms since;        /* became usable, for slow start */
+    bool ready;         /* in a pool, no open operation, probe answered */
+    bool leaving;
+    struct cw_eject eject;
+    struct cw_limit limit;
+    void *ctx; /* the daemon's */
+};
+
+/* The endpoints of one service. */
+struct cw_route {
+    struct cw_route_params params;
+    size_t count;
+    size_t cap;
+    struct cw_endpoint **items;
+    double latency_ms; /* moving average over the pool */
+};
+
+void cw_route_init(struct cw_route *r, struct cw_route_params params);
+void cw_route_finish(struct cw_route *r);
+/* Prepares an endpoint that is not ready yet. */
+void cw_endpoint_init(struct cw_endpoint *ep, struct cw_slot_entry *slots,
+                      uint64_t incarnation, cw_ms now);
+enum cw_status cw_route_add(struct cw_route *r, struct cw_endpoint *ep);
+void cw_route_remove(struct cw_route *r, struct cw_endpoint *ep);
+/* Marks an endpoint usable; starts its slow start unless it was ready. */
+void cw_endpoint_ready(struct cw_endpoint *ep, bool ready, cw_ms now);
+
+/* Chooses an endpoint with a free slot, or NULL. not_this (may be NULL) is
+ * passed over: the endpoint of the attempt before. */
+struct cw_endpoint *cw_route_pick(const struct cw_route *r,
+                                  const struct cw_slots *t,
+                                  const struct cw_endpoint *not_this,
+                                  struct cw_rng *rng, cw_ms now);
+/* Takes a slot of the chosen endpoint; -1 when it has none. */
+int cw_route_start(struct cw_route *r, struct cw_slots *t,
+                   struct cw_endpoint *ep);
+/* Gives the slot back and updates the averages, the limit and the ejection.
+ * Returns true when the result ejects the endpoint. latency_ms runs from the
+ * first byte sent to the response head. Call with the endpoint still valid;
+ * its slot entry may be freed when it is gone. */
+bool cw_route_done(struct cw_route *r, struct cw_slots *t,
+                   struct cw_endpoint *ep, int slot, enum cw_ep_result result,
+                   double latency_ms, cw_ms now);
+
+/* Queries. */
+/* True when more than max_share of the endpoints are ejected, so that
+ * ejections are ignored. */
+bool cw_route_panic(const struct cw_route *r, cw_ms now);
+/* Slots that new requests of the service may use now, for heartbeats. */
+uint32_t cw_route_free(const struct cw_route *r, const struct cw_slots *t,
+                       cw_ms now);
+/* Slots held and usable over all endpoints that are ready and stay. */
+uint32_t cw_route_usable(const struct cw_route *r, const struct cw_slots *t);
+
 /* ===================================================================== */
 /* policy: admission                                                     */
 /* ===================================================================== */
 
+enum cw_priority { CW_URGENT, CW_NORMAL, CW_BATCH };
+#define CW_PRIORITIES 3
+/* Parses urgent, normal or batch. */
+bool cw_priority_parse(struct cw_str s, enum cw_priority *out);
+
+struct cw_admit_params {
+    uint32_t bound;      /* waiting requests, default 512; 0 = unbounded */
+    bool early_refuse;   /* refuse on arrival what would miss its deadline */
+    bool fair;           /* deficit round robin between callers */
+    bool priorities;     /* false: every request counts as normal */
+    cw_ms lifo_after_ms; /* newest first after this, default 1000; 0 = off */
+    uint32_t quantum;    /* cost served per caller and round, default 1 */
+};
+struct cw_admit_params cw_admit_defaults(void);
+
+/* One waiting request; the daemon embeds it. Set the first group of fields
+ * before cw_admit_offer. */
+struct cw_admit_item {
+    uint64_t caller; /* hash of the caller's name */
+    enum cw_priority priority;
+    cw_ms deadline; /* when a response is of no more use */
+    uint32_t cost;  /* at least 1; relative size for fairness */
+
+    cw_ms queued; /* private from here on */
+    struct cw_admit_flow *flow;
+    struct cw_admit_item *prev, *next;         /* in its flow, oldest first */
+    struct cw_admit_item *all_prev, *all_next; /* in the queue */
+};
+
+/* The queue of one service on one daemon. */
+struct cw_admit {
+    struct cw_admit_params params;
+    uint32_t count;
+    cw_ms busy_since;  /* not empty since; -1 while empty */
+    double rate;       /* served per ms while requests wait; 0 = unknown */
+    double service_ms; /* average time a request takes once sent */
+    cw_ms slice_start; /* of the running rate measurement; -1 = none */
+    uint32_t slice_served;
+    cw_ms last_served;
+    struct cw_admit_flow *rounds[CW_PRIORITIES]; /* callers in turn */
+    struct cw_admit_flow *buckets[64];           /* by caller */
+    struct cw_admit_item *all_first, *all_last;  /* by arrival */
+};
+
+enum cw_admit_verdict {
+    CW_ADMIT_QUEUED,
+    CW_ADMIT_LATE, /* refused: would miss its deadline */
+    CW_ADMIT_FULL, /* refused: the bound is reached */
+};
+
+void cw_admit_init(struct cw_admit *q, struct cw_admit_params params);
+/* The queue must be empty. */
+void cw_admit_finish(struct cw_admit *q);
+/* Offers a request that found no free slot. On a full queue a request of a
+ * lower priority, or one of the caller with most requests, makes room: it is
+ * then returned in *evicted (else NULL) and is to be refused as not run. */
+enum cw_admit_verdict cw_admit_offer(struct cw_admit *q,
+                                     struct cw_admit_item *item, cw_ms now,
+                                     struct cw_admit_item **evicted);
+/* Removes and returns the request to send next; NULL when none waits that
+ * could still be sent in time. Call when a slot becomes free. */
+struct cw_admit_item *cw_admit_next(struct cw_admit *q, cw_ms now);
+/* Removes and returns a request whose deadline has passed, or NULL. Call until
+ * NULL on a timer; each is refused as not run. */
+struct cw_admit_item *cw_admit_expired(struct cw_admit *q, cw_ms now);
+/* Removes a waiting request whose caller went away. */
+void cw_admit_remove(struct cw_admit *q, struct cw_admit_item *item,
+                     cw_ms now);
+/* Notes the end of a request that was sent and how long it took. */
+void cw_admit_served(struct cw_admit *q, double service_ms, cw_ms now);
+
+/* Queries. */
+/* Expected time until a request of this caller and priority that arrived now
+ * would be sent; 0 while the rate is unknown. */
+double cw_admit_wait_ms(const struct cw_admit *q, uint64_t caller,
+                        enum cw_priority priority, cw_ms now);
+/* True while the newest request of a caller is served first. */
+bool cw_admit_lifo(const struct cw_admit *q, cw_ms now);
+/* Age of the oldest waiting request, for heartbeats. */
+cw_ms cw_admit_delay(const struct cw_admit *q, cw_ms now);
+
 /* ===================================================================== */
 /* policy: retry budget                                                  */
 /* ===================================================================== */
 
+/* What a caller is told about its request. */
+enum cw_outcome { CW_OUTCOME_NOT_RUN, CW_OUTCOME_UNKNOWN, CW_OUTCOME_RUN };
+/* The word in Cuminwalk-Outcome: not-run, unknown or run. */
+const char *cw_outcome_name(enum cw_outcome o);
+
+/* How one attempt at a request ended. */
+enum cw_attempt_end {
+    CW_END_CONNECT,  /* no connection was made */
+    CW_END_CUT,      /* connection lost or timed out before the end */
+    CW_END_REFUSED,  /* the endpoint's refusal: 503 with Cuminwalk-Refused */
+    CW_END_RESPONSE, /* a complete response, whatever its status */
+};
+
+struct cw_attempt {
+    enum cw_attempt_end end;
+    bool idempotent;     /* cw_doc_idempotent of the request */
+    bool first_byte;     /* a byte of the request was handed to the socket */
+    bool response_begun; /* a byte of the response went to the caller */
+    uint32_t resent;     /* attempts before this one */
+};
+
+struct cw_retry_params {
+    double share;        /* of the requests of the window, default 0.1;
+                          * negative = no budget, every retry is allowed */
+    uint32_t at_least;   /* retries per window, default 3 */
+    cw_ms window_ms;     /* default 10000 */
+    uint32_t most_times; /* retries of one request, default 2 */
+};
+struct cw_retry_params cw_retry_defaults(void);
+
+#define CW_RETRY_BUCKETS 10
+
+/* The retry budget of one service on one daemon. */
+struct cw_retry {
+    struct cw_retry_params params;
+    cw_ms bucket_start[CW_RETRY_BUCKETS];
+    uint32_t requests[CW_RETRY_BUCKETS];
+    uint32_t retries[CW_RETRY_BUCKETS];
+};
+
+void cw_retry_init(struct cw_retry *r, struct cw_retry_params params);
+/* Counts a request on its first attempt. */
+void cw_retry_request(struct cw_retry *r, cw_ms now);
+/* Takes one retry from the budget; false when it is used up. */
+bool cw_retry_take(struct cw_retry *r, cw_ms now);
+/* Retries left at now. */
+uint32_t cw_retry_left(const struct cw_retry *r, cw_ms now);
+
+/* What the caller would be told if no further attempt is made. */
+enum cw_outcome cw_attempt_outcome(const struct cw_attempt *a);
+/* True when the rules allow to send the request again; the budget is asked
+ * after that, and the request's deadline holds as well. */
+bool cw_attempt_resendable(const struct cw_attempt *a,
+                           const struct cw_retry_params *p);
+
 /* ===================================================================== */
 /* policy: idempotency keys                                              */
 /* ===================================================================== */
 
+enum cw_idem_kind { CW_IDEM_INTENT, CW_IDEM_DONE, CW_IDEM_RELEASED };
+
+/* A record of a stream keys-<n>. */
+struct cw_idem_record {
+    enum cw_idem_kind kind;
+    struct cw_name id; /* record id */
+    struct cw_name by;
+    cw_ms time;    /* wall, the writer's; not used for decisions */
+    uint64_t hash; /* cw_idem_hash */
+    struct cw_name request;
+    uint16_t status; /* of the response; done only */
+};
+
+/* Parses one JSON object. msg (CW_MSG_MAX bytes) names the field at fault. */
+enum cw_status cw_idem_record_parse(struct cw_idem_record *r,
+                                    struct cw_str json, char *msg);
+/* Adds the record as one JSON object to out. */
+void cw_idem_record_print(const struct cw_idem_record *r, struct cw_buf *out);
+
+/* Hash of a service and a key; the stream is keys-<hash mod key_streams>. */
+uint64_t cw_idem_hash(struct cw_str service, struct cw_str key);
+
+struct cw_idem_params {
+    cw_ms window_ms;    /* default 600000 */
+    uint32_t max_items; /* intents kept, default 1000000 (about 40 MB) */
+    bool first_wins;    /* false: every intent may run */
+};
+struct cw_idem_params cw_idem_defaults(void);
+
+/* What an intent may do, decided by its place in the log: the same on every
+ * daemon that has read the stream from before its window. */
+enum cw_idem_verdict {
+    CW_IDEM_FIRST,     /* may be sent */
+    CW_IDEM_IN_USE,    /* 409 key_in_use, outcome unknown */
+    CW_IDEM_RUN,       /* 409 key_already_run, outcome run */
+    CW_IDEM_NOT_KNOWN, /* the window is not wholly read or not wholly kept:
+                        * must not be sent, outcome not run */
+};
+
+/* The intent that holds a key. */
+struct cw_idem_item {
+    uint64_t hash;
+    uint64_t request; /* hash of the request id */
+    cw_ms time;       /* the log service's */
+    uint16_t status;
+    uint8_t state; /* private */
+};
+
+/* Intents of one stream within the window, in log order. */
+struct cw_idem {
+    struct cw_idem_params params;
+    uint64_t applied;  /* offset of the last record applied */
+    cw_ms log_time;    /* latest time of a record */
+    cw_ms known_since; /* records from this time on were applied */
+    uint32_t count;
+    uint32_t cap;
+    struct cw_idem_item *items; /* hash table, private */
+};
+
+void cw_idem_init(struct cw_idem *t, struct cw_idem_params params);
+void cw_idem_finish(struct cw_idem *t);
+/* Begins reading: the records that follow are all records from log time since
+ * on; 0 when the stream is read from offset 1. Clears the table. */
+void cw_idem_begin(struct cw_idem *t, cw_ms since);
+/* Applies the record at offset; time is the log service's. Offsets at or below
+ * applied have no effect. The verdict is meant for the writer of an intent,
+ * who uses it once, at the first record with its request id; *status is that
+ * of the first run for CW_IDEM_RUN. Other kinds return CW_IDEM_FIRST when they
+ * took effect and CW_IDEM_IN_USE when not. */
+enum cw_idem_verdict cw_idem_apply(struct cw_idem *t, uint64_t offset,
+                                   cw_ms time, const struct cw_idem_record *r,
+                                   uint16_t *status);
+/* Drops intents whose window ended before log time. */
+void cw_idem_expire(struct cw_idem *t, cw_ms time);
+/* The intent that holds a key at log time, or NULL. */
+const struct cw_idem_item *cw_idem_find(const struct cw_idem *t, uint64_t hash,
+                                        cw_ms time);
+size_t cw_idem_memory(const struct cw_idem *t);
+
+struct cw_batch_params {
+    cw_ms every_ms; /* between appends of a stream, default 50; 0 = off */
+    uint32_t max_records; /* of one append, default 256 */
+    uint32_t max_waiting; /* default 4096 */
+    uint32_t max_flying;  /* appends without an answer, default 4 */
+};
+struct cw_batch_params cw_batch_defaults(void);
+
+/* A record that waits for its append; the daemon embeds it. */
+struct cw_batch_item {
+    struct cw_batch_item *prev, *next; /* private */
+    bool waiting;                      /* private */
+};
+
+/* The records of one stream that wait for an append. */
+struct cw_batch {
+    struct cw_batch_params params;
+    uint32_t waiting;
+    uint32_t flying;
+    cw_ms last; /* time of the last append; -1 = none */
+    struct cw_batch_item *first, *newest;
+};
+
+void cw_batch_init(struct cw_batch *b, struct cw_batch_params params);
+/* Queues an intent; CW_ERR_LIMIT when too many wait, which the caller is told
+ * as not run. must (for done and released) is never refused. */
+enum cw_status cw_batch_add(struct cw_batch *b, struct cw_batch_item *item,
+                            bool must);
+/* Takes a record back that was not appended yet; false when it was. */
+bool cw_batch_cancel(struct cw_batch *b, struct cw_batch_item *item);
+/* Takes the records to append now, oldest first, at most max; 0 = wait. Counts
+ * as one append in flight until cw_batch_answered. */
+uint32_t cw_batch_take(struct cw_batch *b, cw_ms now,
+                       struct cw_batch_item **out, uint32_t max);
+void cw_batch_answered(struct cw_batch *b);
+/* Milliseconds until cw_batch_take can return records; -1 = none wait or an
+ * answer has to come first. */
+cw_ms cw_batch_wait(const struct cw_batch *b, cw_ms now);
+
 /* ===================================================================== */
 /* policy: availability budget                                           */
 /* ===================================================================== */
