Add the request policies

The daemon needs decisions for slots, endpoint choice, admission, retries and idempotency keys that run without I/O or a clock. This adds them as pure modules, commands and queries in separate files. A refused second attempt keeps the unknown outcome of the first.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -720,8 +720,9 @@
     const struct cw_slot_endpoint *endpoints;
 };
 
-/* This daemon's part of one endpoint. The address stays the same until the
- * endpoint is out of the view and no slot of it is in use. */
+/* This daemon's part of one endpoint. The address stays the same while the
+ * endpoint is in the view or a slot of it is in use; cw_slots_update and
+ * cw_slots_release free an entry for which neither holds. */
 struct cw_slot_entry {
     struct cw_name vm;
     uint32_t slots;
@@ -1013,8 +1014,8 @@
                    struct cw_endpoint *ep);
 /* Gives the slot back and updates the averages, the limit and the ejection.
  * Returns true when the result ejects the endpoint. latency_ms runs from the
- * first byte sent to the response head. Call with the endpoint still valid;
- * its slot entry may be freed when it is gone. */
+ * first byte sent to the response head. Sets ep->slots to NULL when this
+ * frees its slot entry. */
 bool cw_route_done(struct cw_route *r, struct cw_slots *t,
                    struct cw_endpoint *ep, int slot, enum cw_ep_result result,
                    double latency_ms, cw_ms now);
@@ -1054,7 +1055,7 @@
     uint64_t caller; /* hash of the caller's name */
     enum cw_priority priority;
     cw_ms deadline; /* when a response is of no more use */
-    uint32_t cost;  /* at least 1; relative size for fairness */
+    uint32_t cost;  /* 1 .. 64 quanta; relative size for fairness */
 
     cw_ms queued; /* private from here on */
     struct cw_admit_flow *flow;
@@ -1136,6 +1137,7 @@
     bool idempotent;     /* cw_doc_idempotent of the request */
     bool first_byte;     /* a byte of the request was handed to the socket */
     bool response_begun; /* a byte of the response went to the caller */
+    bool unknown_before; /* an earlier attempt ended as unknown */
     uint32_t resent;     /* attempts before this one */
 };
 
@@ -1201,7 +1203,7 @@
 
 struct cw_idem_params {
     cw_ms window_ms;    /* default 600000 */
-    uint32_t max_items; /* intents kept, default 1000000 (about 40 MB) */
+    uint32_t max_items; /* intents kept, default 600000 (about 34 MB) */
     bool first_wins;    /* false: every intent may run */
 };
 struct cw_idem_params cw_idem_defaults(void);
@@ -1231,6 +1233,7 @@
     uint64_t applied;  /* offset of the last record applied */
     cw_ms log_time;    /* latest time of a record */
     cw_ms known_since; /* records from this time on were applied */
+    cw_ms expired;     /* log time of the last expiry */
     uint32_t count;
     uint32_t cap;
     struct cw_idem_item *items; /* hash table, private */
--- /dev/null
+++ b/packages/policy/cw_admit_query.c
@@ -0,0 +1,122 @@
+/* Admission queue of one service: queries. */
+#include "cw_admit_int.h"
+
+#define SILENT_INTERVALS 4
+
+bool
+cw_priority_parse(struct cw_str s, enum cw_priority *out)
+{
+    static const char *names[CW_PRIORITIES] = {"urgent", "normal", "batch"};
+    for (int i = 0; i < CW_PRIORITIES; i++) {
+        if (cw_str_eq(s, cw_str_from(names[i]))) {
+            *out = (enum cw_priority)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+cw_admit_bucket(uint64_t caller)
+{
+    return cw_hash_mix(caller, 0) % 64;
+}
+
+struct cw_admit_flow *
+cw_admit_flow(const struct cw_admit *q, uint64_t caller,
+              enum cw_priority priority)
+{
+    struct cw_admit_flow *f = q->buckets[cw_admit_bucket(caller)];
+    while (f != NULL && (f->caller != caller || f->priority != priority)) {
+        f = f->chain;
+    }
+    return f;
+}
+
+struct cw_admit_flow *
+cw_admit_longest(struct cw_admit_flow *ring)
+{
+    struct cw_admit_flow *best = ring;
+    if (ring != NULL) {
+        for (struct cw_admit_flow *f = ring->next; f != ring; f = f->next) {
+            if (f->count > best->count) {
+                best = f;
+            }
+        }
+    }
+    return best;
+}
+
+enum cw_priority
+cw_admit_class(const struct cw_admit *q, enum cw_priority p)
+{
+    return q->params.priorities ? p : CW_NORMAL;
+}
+
+uint64_t
+cw_admit_caller(const struct cw_admit *q, uint64_t caller)
+{
+    return q->params.fair ? caller : 0;
+}
+
+bool
+cw_admit_lifo(const struct cw_admit *q, cw_ms now)
+{
+    return q->params.lifo_after_ms > 0 && q->busy_since >= 0 &&
+           now - q->busy_since > q->params.lifo_after_ms;
+}
+
+cw_ms
+cw_admit_delay(const struct cw_admit *q, cw_ms now)
+{
+    return q->all_first != NULL ? now - q->all_first->queued : 0;
+}
+
+/* Requests that would be served before a new one: all of a higher priority,
+ * and of each caller of its own priority as many as it has itself, plus one
+ * turn. Newest first, the caller's own do not count. */
+static uint32_t
+work_ahead(const struct cw_admit *q, uint64_t caller, enum cw_priority p,
+           bool lifo)
+{
+    const struct cw_admit_flow *own = cw_admit_flow(q, caller, p);
+    uint32_t turns = (own != NULL && !lifo ? own->count : 0) + 1;
+    uint32_t n = 0;
+    for (int i = 0; i <= (int)p; i++) {
+        const struct cw_admit_flow *ring = q->rounds[i];
+        const struct cw_admit_flow *f = ring;
+        while (f != NULL) {
+            if (i < (int)p) {
+                n += f->count;
+            }
+            else if (f == own) {
+                n += turns - 1;
+            }
+            else {
+                n += f->count < turns ? f->count : turns;
+            }
+            f = f->next == ring ? NULL : f->next;
+        }
+    }
+    return n;
+}
+
+double
+cw_admit_wait_ms(const struct cw_admit *q, uint64_t caller,
+                 enum cw_priority priority, cw_ms now)
+{
+    if (q->rate <= 0 || q->count == 0) {
+        return 0;
+    }
+    uint32_t n =
+        work_ahead(q, cw_admit_caller(q, caller), cw_admit_class(q, priority),
+                   cw_admit_lifo(q, now));
+    double rate = q->rate;
+    /* When nothing has left for several intervals, the measured rate is out of
+     * date; single gaps that long are usual. */
+    double silent = (double)(now - q->last_served);
+    if (silent * rate > SILENT_INTERVALS) {
+        rate = SILENT_INTERVALS / silent;
+    }
+    return (n + 1) / rate;
+}
--- /dev/null
+++ b/packages/policy/cw_batch.c
@@ -0,0 +1,87 @@
+/* Batches of key records: what one append carries and when it goes. */
+#include "cuminwalk.h"
+
+#include <string.h>
+
+struct cw_batch_params
+cw_batch_defaults(void)
+{
+    return (struct cw_batch_params){.every_ms = 50,
+                                    .max_records = 256,
+                                    .max_waiting = 4096,
+                                    .max_flying = 4};
+}
+
+void
+cw_batch_init(struct cw_batch *b, struct cw_batch_params params)
+{
+    memset(b, 0, sizeof(*b));
+    b->params = params;
+    b->last = -1;
+}
+
+enum cw_status
+cw_batch_add(struct cw_batch *b, struct cw_batch_item *item, bool must)
+{
+    if (!must && b->waiting >= b->params.max_waiting) {
+        return CW_ERR_LIMIT;
+    }
+    item->waiting = true;
+    item->next = NULL;
+    item->prev = b->newest;
+    *(b->newest ? &b->newest->next : &b->first) = item;
+    b->newest = item;
+    b->waiting++;
+    return CW_OK;
+}
+
+bool
+cw_batch_cancel(struct cw_batch *b, struct cw_batch_item *item)
+{
+    if (!item->waiting) {
+        return false;
+    }
+    *(item->prev ? &item->prev->next : &b->first) = item->next;
+    *(item->next ? &item->next->prev : &b->newest) = item->prev;
+    item->waiting = false;
+    b->waiting--;
+    return true;
+}
+
+cw_ms
+cw_batch_wait(const struct cw_batch *b, cw_ms now)
+{
+    if (b->waiting == 0 || b->flying >= b->params.max_flying) {
+        return -1;
+    }
+    cw_ms due = b->last < 0 ? now : b->last + b->params.every_ms;
+    return due > now ? due - now : 0;
+}
+
+uint32_t
+cw_batch_take(struct cw_batch *b, cw_ms now, struct cw_batch_item **out,
+              uint32_t max)
+{
+    if (cw_batch_wait(b, now) != 0) {
+        return 0;
+    }
+    uint32_t n = 0;
+    /* Without batching every record is an append of its own. */
+    uint32_t most = b->params.every_ms > 0 ? b->params.max_records : 1;
+    while (n < max && n < most && b->first != NULL) {
+        out[n] = b->first;
+        (void)cw_batch_cancel(b, out[n++]);
+    }
+    if (n > 0) {
+        b->last = now;
+        b->flying++;
+    }
+    return n;
+}
+
+void
+cw_batch_answered(struct cw_batch *b)
+{
+    CW_INVARIANT(b->flying > 0);
+    b->flying--;
+}
