Let placement survive lost starts, retention and a change of holder

Cause: a start whose call was lost would count as running for ever, since the lease covers the whole worker; and a new holder needs the outcomes that an earlier one recorded.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1694,10 +1694,12 @@
 };
 
 struct cw_place_params {
-    cw_ms lease_ms;            /* default 30000 */
-    cw_ms renew_ms;            /* default 10000 */
-    cw_ms lease_guard_ms;      /* after the lease's end, default 5000 */
-    cw_ms start_wait_ms;       /* for a start to be recorded, default 10000 */
+    cw_ms lease_ms;       /* default 30000 */
+    cw_ms renew_ms;       /* default 10000 */
+    cw_ms lease_guard_ms; /* after the lease's end, default 5000 */
+    cw_ms start_wait_ms;  /* for a start to be recorded, default 10000 */
+    cw_ms absent_ms; /* a task that its worker's reports leave out this long
+                      * is lost, default 20000 */
     cw_ms checkpoint_ms;       /* before a victim is stopped, default 5000 */
     cw_ms reclaim_ms;          /* wait before borrowed room is called back,
                                 * default 30000 */
@@ -1759,6 +1761,7 @@
     cw_ms started_at;
     cw_ms changed_at;      /* last change of state */
     cw_ms checkpointed_at; /* 0 if never in this attempt */
+    cw_ms seen_at;         /* last report that listed it, or its start */
     bool borrowed;         /* started above the team's quota */
     bool throttled;
     uint32_t good_failures; /* failures on workers in good health */
@@ -1852,6 +1855,22 @@
                            uint64_t fence, struct cw_size size, cw_ms now);
 void cw_place_replay_ended(struct cw_place *p, struct cw_str task,
                            uint32_t attempt, bool done, cw_ms now);
+/* The job was taken out of its document: outcomes that stand before this
+ * record do not count for a job that was listed again under its name. */
+void cw_place_replay_unlisted(struct cw_place *p, struct cw_str job,
+                              cw_ms now);
+/* Calls each with the full name of every listed job of the document's service
+ * that the document no longer lists. */
+void cw_place_each_unlisted(const struct cw_place *p, const struct cw_doc *doc,
+                            void (*each)(void *ctx, struct cw_str job),
+                            void *ctx);
+/* Calls each with every task that runs or is done, for writing them again
+ * before the log's retention passes their records. */
+void cw_place_each_placed(const struct cw_place *p,
+                          void (*each)(void *ctx,
+                                       const struct cw_place_task *t,
+                                       struct cw_str worker),
+                          void *ctx);
 
 /* Decides what to do now and calls act once for each action, in order. */
 void cw_place_tick(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx);
@@ -1863,6 +1882,8 @@
 /* Size that a task of the job would be given now. */
 struct cw_size cw_place_request(const struct cw_place *p,
                                 const struct cw_place_job *job);
+/* Declared run time of the task's job. */
+cw_ms cw_place_run_ms(const struct cw_place_task *t);
 /* Dominant share of a team's use in its quota, 0 for an unknown team. */
 double cw_place_team_share(const struct cw_place *p, struct cw_str team);
 /* Free room summed over healthy workers. */
--- a/packages/policy/cw_place.c
+++ b/packages/policy/cw_place.c
@@ -12,6 +12,7 @@
         .renew_ms = 10 * CW_SECOND,
         .lease_guard_ms = 5 * CW_SECOND,
         .start_wait_ms = 10 * CW_SECOND,
+        .absent_ms = 20 * CW_SECOND,
         .checkpoint_ms = 5 * CW_SECOND,
         .reclaim_ms = 30 * CW_SECOND,
         .probe_ms = 60 * CW_SECOND,
--- a/packages/policy/cw_place_int.h
+++ b/packages/policy/cw_place_int.h
@@ -63,6 +63,7 @@
     struct cw_worker_health health;
     struct cw_lease lease;
     uint32_t renew_failures;
+    cw_ms reported_at;
     bool gone;
     size_t index; /* in the scheduler's list and in rooms */
     struct cw_place_maps *maps;
--- a/packages/policy/cw_place_jobs.c
+++ b/packages/policy/cw_place_jobs.c
@@ -280,6 +280,19 @@
     p->job_count = kept;
 }
 
+void
+cw_place_each_unlisted(const struct cw_place *p, const struct cw_doc *doc,
+                       void (*each)(void *ctx, struct cw_str job), void *ctx)
+{
+    for (size_t i = 0; i < p->job_count; i++) {
+        const struct cw_place_job *job = p->jobs[i];
+        if (job->listed && cw_name_eq(&job->service, &doc->service) &&
+            !lists_job(doc, job)) {
+            each(ctx, cw_name_str(&job->name));
+        }
+    }
+}
+
 enum cw_status
 cw_place_document(struct cw_place *p, const struct cw_doc *doc,
                   bool (*mine)(void *ctx, struct cw_str task), void *ctx,
--- a/packages/policy/cw_place_outcome.c
+++ b/packages/policy/cw_place_outcome.c
@@ -139,6 +139,7 @@
     }
     bool leaving =
         t->state == CW_PLACE_STOPPING || t->state == CW_PLACE_EVICTING;
+    t->seen_at = o->now;
     cw_place_measure(t, s->cpu_milli, s->memory_mb);
     switch (s->state) {
     case CW_SEEN_RUNNING:
@@ -180,6 +181,7 @@
     }
     w->gone = false;
     w->renew_failures = 0;
+    w->reported_at = now;
     cw_place_set_size(w, size);
     struct cw_size *top = &p->maps->largest;
     top->cpu_milli =
@@ -244,6 +246,7 @@
     }
     t->fence = fence;
     t->started_at = now;
+    t->seen_at = now;
     cw_lease_grant(&t->worker->lease, now, p->params.lease_ms);
     cw_place_set_state(p, t, CW_PLACE_RUNNING, now);
     return true;
@@ -289,6 +292,7 @@
     t->attempt = attempt;
     t->fence = fence;
     t->started_at = now;
+    t->seen_at = now;
     cw_place_take(t, w, size);
     /* The earlier holder may have renewed just before it was replaced. */
     cw_lease_grant(&w->lease, now, p->params.lease_ms);
@@ -296,6 +300,19 @@
         p, t, t->job->listed ? CW_PLACE_RUNNING : CW_PLACE_STOPPING, now);
 }
 
+void
+cw_place_replay_unlisted(struct cw_place *p, struct cw_str job, cw_ms now)
+{
+    struct cw_place_job *j = cw_map_get(&p->maps->jobs, job);
+    for (size_t i = 0; j != NULL && i < j->task_count; i++) {
+        struct cw_place_task *t = j->tasks[i];
+        if (t->state == CW_PLACE_DONE && j->listed) {
+            cw_place_set_state(p, t, CW_PLACE_WAITING, now);
+            cw_place_enqueue(t, false);
+        }
+    }
+}
+
 void
 cw_place_replay_ended(struct cw_place *p, struct cw_str task, uint32_t attempt,
                       bool done, cw_ms now)
--- a/packages/policy/cw_place_query.c
+++ b/packages/policy/cw_place_query.c
@@ -21,6 +21,12 @@
     return cw_place_find_task(p, name);
 }
 
+cw_ms
+cw_place_run_ms(const struct cw_place_task *t)
+{
+    return t->job->run_ms;
+}
+
 size_t
 cw_place_count(const struct cw_place *p, enum cw_place_state state)
 {
@@ -48,3 +54,22 @@
         *accelerators += w->size.accelerators - w->used_accelerators;
     }
 }
+
+void
+cw_place_each_placed(const struct cw_place *p,
+                     void (*each)(void *ctx, const struct cw_place_task *t,
+                                  struct cw_str worker),
+                     void *ctx)
+{
+    for (size_t i = 0; i < p->job_count; i++) {
+        const struct cw_place_job *job = p->jobs[i];
+        for (size_t n = 0; n < job->task_count; n++) {
+            const struct cw_place_task *t = job->tasks[n];
+            bool placed = t->worker != NULL && t->fence != 0;
+            if (placed || (t->state == CW_PLACE_DONE && job->listed)) {
+                each(ctx, t,
+                     placed ? cw_name_str(&t->worker->name) : CW_LIT(""));
+            }
+        }
+    }
+}
--- a/packages/policy/cw_place_tick.c
+++ b/packages/policy/cw_place_tick.c
@@ -86,7 +86,8 @@
         return;
     }
     cw_place_set_state(k->p, t, CW_PLACE_STOPPING, k->now);
-    emit(k, CW_PLACE_RECORD_LOST, t, t->worker, t->given, "lease ended");
+    emit(k, CW_PLACE_RECORD_LOST, t, t->worker, t->given,
+         "lease ended or not on the worker");
 }
 
 static void
@@ -102,7 +103,10 @@
         }
         return;
     }
-    if (lease_over) {
+    /* The worker reports, but without the task: the start was lost, or the
+     * worker stopped it when its lease lapsed. */
+    bool absent = t->worker->reported_at - t->seen_at >= params->absent_ms;
+    if (lease_over || absent) {
         tick_lost(k, t);
         return;
     }
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -287,6 +287,18 @@
     return NULL;
 }
 
+/* Renews the leases of all tasks that run on the worker. */
+static void
+renew_all(struct platform *p, struct plat_worker *w, const json_t *body)
+{
+    cw_ms until = now_of(p) + (cw_ms)http_json_u64(body, "lease_ms", 30000);
+    for (struct plat_task *t = w->tasks; t != NULL; t = t->next) {
+        if (is_running(t)) {
+            t->lease_until = until;
+        }
+    }
+}
+
 static void
 handle_call(struct platform *p, h2o_req_t *req, const char *call,
             const json_t *body)
@@ -301,6 +313,13 @@
             w = &p->workers.items[i];
         }
     }
+    if (w != NULL && strcmp(call, "renew") == 0 &&
+        cw_str_eq(task, CW_LIT("*"))) {
+        renew_all(p, w, body);
+        plat_reply(p, &p->workers.fault, req, true, 200,
+                   json_pack("{ss}", "state", "ok"));
+        return;
+    }
     if (w == NULL || !cw_name_valid(task)) {
         http_reply_json(req, 400, json_pack("{ss}", "error", "arguments"));
         return;
