Use the base package's hash map in the state

Cause: base/cw_map.c and state/cw_index.c both defined cw_map_get, cw_map_put and cw_map_finish, so programs that linked the library failed with multiple definitions. Change: the state's own map is removed; expiry takes single entries out instead of building the maps anew.

--- a/packages/state/cw_index.c
+++ b/packages/state/cw_index.c
@@ -25,75 +25,10 @@
     return cw_need(realloc(list, 2 * count * sizeof(void *)));
 }
 
-/* ---- map ------------------------------------------------------------ */
-
-static struct cw_str
-entry_name(const void *entry)
-{
-    return cw_name_str((const struct cw_name *)entry);
-}
-
-void *
-cw_map_get(const struct cw_map *m, struct cw_str name)
-{
-    if (m->cap == 0) {
-        return NULL;
-    }
-    size_t mask = m->cap - 1;
-    size_t i = cw_hash(name, 0) & mask;
-    while (m->slots[i] != NULL) {
-        if (cw_str_eq(entry_name(m->slots[i]), name)) {
-            return m->slots[i];
-        }
-        i = (i + 1) & mask;
-    }
-    return NULL;
-}
-
-static void
-map_insert(struct cw_map *m, void *entry)
-{
-    size_t mask = m->cap - 1;
-    size_t i = cw_hash(entry_name(entry), 0) & mask;
-    while (m->slots[i] != NULL) {
-        i = (i + 1) & mask;
-    }
-    m->slots[i] = entry;
-}
-
-void
-cw_map_put(struct cw_map *m, void *entry)
-{
-    if (2 * (m->count + 1) > m->cap) {
-        struct cw_map bigger = {NULL, m->cap == 0 ? 64 : 2 * m->cap, 0};
-        bigger.slots = cw_need(calloc(bigger.cap, sizeof(void *)));
-        for (size_t i = 0; i < m->cap; i++) {
-            if (m->slots[i] != NULL) {
-                map_insert(&bigger, m->slots[i]);
-            }
-        }
-        free(m->slots);
-        m->slots = bigger.slots;
-        m->cap = bigger.cap;
-    }
-    map_insert(m, entry);
-    m->count++;
-}
-
-void
-cw_map_clear(struct cw_map *m)
-{
-    if (m->cap > 0) {
-        memset(m->slots, 0, m->cap * sizeof(void *));
-    }
-    m->count = 0;
-}
-
 void
-cw_map_finish(struct cw_map *m)
+cw_index_put(struct cw_map *m, void *entry)
 {
-    free(m->slots);
-    memset(m, 0, sizeof(*m));
+    CW_INVARIANT(cw_map_put(m, entry) == CW_OK);
 }
 
 /* ---- seen ids ------------------------------------------------------- */
@@ -172,7 +107,7 @@
     if (p == NULL) {
         p = cw_need(calloc(1, sizeof(*p)));
         (void)cw_name_set(&p->pool, pool);
-        cw_map_put(&x->pools, p);
+        cw_index_put(&x->pools, p);
         x->pool_list = cw_list_grow(x->pool_list, x->pool_count);
         x->pool_list[x->pool_count++] = p;
     }
@@ -191,6 +126,12 @@
         (struct cw_str){scope.ptr + prefix.len, scope.len - prefix.len});
 }
 
+static struct cw_str
+entry_name(const void *entry)
+{
+    return cw_name_str((const struct cw_name *)entry);
+}
+
 /* Inserts an entry into a list of pointers sorted by name. */
 static void **
 insert_sorted(void **list, size_t count, void *entry)
@@ -223,7 +164,7 @@
     s->docs = (struct cw_doc_entry **)insert_sorted((void **)s->docs,
                                                     s->doc_count, e);
     s->doc_count++;
-    cw_map_put(&cw_index(s)->docs, e);
+    cw_index_put(&cw_index(s)->docs, e);
     cw_state_link_doc(s, e);
 }
 
@@ -233,7 +174,7 @@
     s->vms =
         (struct cw_vm_entry **)insert_sorted((void **)s->vms, s->vm_count, e);
     s->vm_count++;
-    cw_map_put(&cw_index(s)->vms, e);
+    cw_index_put(&cw_index(s)->vms, e);
     cw_index_pool(s, cw_name_str(&e->pool))->vms++;
 }
 
@@ -242,7 +183,7 @@
 {
     s->ops = cw_list_grow(s->ops, s->op_count);
     s->ops[s->op_count++] = e;
-    cw_map_put(&cw_index(s)->ops, e);
+    cw_index_put(&cw_index(s)->ops, e);
 }
 
 void
@@ -250,7 +191,7 @@
 {
     s->waves = cw_list_grow(s->waves, s->wave_count);
     s->waves[s->wave_count++] = e;
-    cw_map_put(&cw_index(s)->waves, e);
+    cw_index_put(&cw_index(s)->waves, e);
     if (e->closed == 0) {
         struct cw_str scope = cw_name_str(&e->scope);
         struct cw_str pool = {scope.ptr + 5, scope.len - 5};
--- a/packages/state/cw_index.h
+++ b/packages/state/cw_index.h
@@ -2,20 +2,7 @@
 #ifndef CW_INDEX_H
 #define CW_INDEX_H
 
-#include "cuminwalk.h"
-
-/* Entries by name; an entry's first member is its struct cw_name. */
-struct cw_map {
-    void **slots;
-    size_t cap; /* a power of two, or 0 */
-    size_t count;
-};
-
-void *cw_map_get(const struct cw_map *m, struct cw_str name);
-/* The name must not be in the map yet. */
-void cw_map_put(struct cw_map *m, void *entry);
-void cw_map_clear(struct cw_map *m);
-void cw_map_finish(struct cw_map *m);
+#include "cw_map.h"
 
 struct cw_pool_entry {
     struct cw_name pool;
@@ -62,6 +49,9 @@
 /* Makes room for one more pointer in a list. */
 void *cw_list_grow(void *list, size_t count);
 
+/* Adds to a map, or ends the process. */
+void cw_index_put(struct cw_map *m, void *entry);
+
 struct cw_state_index *cw_index(struct cw_state *s);
 /* Returns the entry of a pool, made on first use. */
 struct cw_pool_entry *cw_index_pool(struct cw_state *s, struct cw_str pool);
--- a/packages/state/cw_state_history.c
+++ b/packages/state/cw_state_history.c
@@ -26,18 +26,12 @@
             s->ops[n++] = s->ops[i];
         }
         else {
+            (void)cw_map_remove(&cw_index(s)->ops,
+                                cw_name_str(&s->ops[i]->rec.op));
             free(s->ops[i]);
         }
     }
-    if (n == s->op_count) {
-        return;
-    }
     s->op_count = n;
-    struct cw_map *m = &cw_index(s)->ops;
-    cw_map_clear(m);
-    for (size_t i = 0; i < n; i++) {
-        cw_map_put(m, s->ops[i]);
-    }
 }
 
 static void
@@ -49,18 +43,12 @@
             s->waves[n++] = s->waves[i];
         }
         else {
+            (void)cw_map_remove(&cw_index(s)->waves,
+                                cw_name_str(&s->waves[i]->wave));
             free(s->waves[i]);
         }
     }
-    if (n == s->wave_count) {
-        return;
-    }
     s->wave_count = n;
-    struct cw_map *m = &cw_index(s)->waves;
-    cw_map_clear(m);
-    for (size_t i = 0; i < n; i++) {
-        cw_map_put(m, s->waves[i]);
-    }
 }
 
 void
