--- a/tests/test_doc.c
+++ b/tests/test_doc.c
@@ -9,6 +9,8 @@
 
 #include "state_util.h"
 
+#include <glob.h>
+#include <jansson.h>
 #include <string.h>
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -339,6 +341,92 @@
     cw_doc_finish(&d);
 }
 
+/* The documents that users copy from have to be valid. */
+static void
+test_examples(void **state)
+{
+    (void)state;
+    glob_t g;
+    assert_int_equal(glob("examples/documents/*.json", 0, NULL, &g), 0);
+    assert_true(g.gl_pathc >= 4);
+    for (size_t i = 0; i < g.gl_pathc; i++) {
+        char text[8192];
+        FILE *in = fopen(g.gl_pathv[i], "r");
+        assert_non_null(in);
+        size_t n = fread(text, 1, sizeof(text), in);
+        (void)fclose(in);
+        struct cw_doc d;
+        struct cw_faults f;
+        if (cw_doc_parse(&d, (struct cw_str){text, n}, &f) != CW_OK) {
+            fail_msg("%s: %s: %s", g.gl_pathv[i], f.items[0].path,
+                     f.items[0].text);
+        }
+        cw_doc_finish(&d);
+    }
+    globfree(&g);
+}
+
+/* Checks that the parser knows each key that the schema lists for an object:
+ * a value of the wrong type must give a fault that names the key and is not
+ * about an unknown key. */
+static void
+check_schema_keys(const json_t *schema, const char *before, const char *after)
+{
+    const char *key;
+    json_t *unused;
+    size_t keys = 0;
+    json_object_foreach(json_object_get(schema, "properties"), key, unused)
+    {
+        (void)unused;
+        char text[256];
+        snprintf(text, sizeof(text), "%s{\"%s\":null}%s", before, key, after);
+        struct cw_doc d;
+        struct cw_faults f;
+        assert_int_equal(cw_doc_parse(&d, cw_str_from(text), &f),
+                         CW_ERR_INVALID);
+        bool named = false;
+        for (size_t i = 0; i < f.count; i++) {
+            assert_null(strstr(f.items[i].text, "unknown"));
+            named = named || strstr(f.items[i].path, key) != NULL;
+        }
+        assert_true(named);
+        keys++;
+    }
+    assert_true(keys > 0);
+}
+
+/* A schema that lags behind the parser makes editors report false faults. */
+static void
+test_schema_keys(void **state)
+{
+    (void)state;
+    json_t *schema =
+        json_load_file("docs/service-document.schema.json", 0, NULL);
+    assert_non_null(schema);
+    check_schema_keys(schema, "", "");
+    static const char *const objects[] = {
+        "capacity",
+        "availability",
+        "maintenance",
+        "quota",
+    };
+    const json_t *top = json_object_get(schema, "properties");
+    for (size_t i = 0; i < COUNT(objects); i++) {
+        char before[64];
+        snprintf(before, sizeof(before), "{\"%s\":", objects[i]);
+        check_schema_keys(json_object_get(top, objects[i]), before, "}");
+    }
+    static const char *const lists[] = {"idempotent", "jobs"};
+    for (size_t i = 0; i < COUNT(lists); i++) {
+        char before[64];
+        snprintf(before, sizeof(before), "{\"%s\":[", lists[i]);
+        check_schema_keys(
+            json_object_get(json_object_get(top, lists[i]), "items"), before,
+            "]}");
+    }
+    json_decref(schema);
+}
+
 /* A document that arrives damaged must be refused, never half applied. */
 static void
 test_mutations(void **state)
@@ -374,6 +462,8 @@
         cmocka_unit_test(test_window_fields),
         cmocka_unit_test(test_window_open),
         cmocka_unit_test(test_idempotent),
+        cmocka_unit_test(test_examples),
+        cmocka_unit_test(test_schema_keys),
         cmocka_unit_test(test_mutations),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
