Add clients of the platform's interface

Cause: the daemon reaches the platform only through ports and needs clients that keep apart what never took effect and what may have. Change: cw_http_call makes one call over h2o's client with a deadline and a pool of idle connections; a call that failed before anything was sent is told from one that was sent without a complete answer.

--- /dev/null
+++ b/packages/ports/cw_http_call.h
@@ -0,0 +1,59 @@
+/* One HTTP/1.1 call to a fixed address, with a deadline and a pool of idle
+ * connections. Tells a call of which nothing was sent from one that was sent
+ * without an answer. */
+#ifndef CW_HTTP_CALL_H
+#define CW_HTTP_CALL_H
+
+#include "cuminwalk.h"
+
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <h2o/socketpool.h>
+#include <netinet/in.h>
+#include <uv.h>
+
+struct cw_http_call;
+
+struct cw_http_client {
+    uv_loop_t *loop;
+    h2o_socketpool_t pool;
+    h2o_timeout_t io_timeout;
+    h2o_http1client_ctx_t ctx;
+    struct cw_name address;
+    struct cw_http_call *calls; /* open ones */
+    bool ready;                 /* init succeeded and finish has not run */
+    char msg[CW_MSG_MAX];       /* of the last failed call */
+};
+
+struct cw_http_request {
+    const char *method;
+    const char *path;
+    struct cw_str body; /* empty for none; sent as JSON */
+    cw_ms timeout_ms;
+};
+
+struct cw_http_answer {
+    int status;
+    struct cw_str body;
+};
+
+/* Parses ip:port, IP numbers only. */
+bool cw_http_address(const char *text, struct sockaddr_in *out);
+
+enum cw_status cw_http_client_init(struct cw_http_client *c, uv_loop_t *loop,
+                                   const char *address);
+/* Ends the open calls, whose done functions run inside this call. The memory
+ * must stay until the loop has run once more. */
+void cw_http_client_finish(struct cw_http_client *c);
+
+/* Starts a call. done runs once, never before this has returned:
+ *   CW_OK              a complete answer of any HTTP status,
+ *   CW_ERR_UNAVAILABLE connect failed: nothing was sent,
+ *   CW_ERR_TIMEOUT     the deadline passed before anything was sent,
+ *   CW_ERR_UNKNOWN     sent, no complete answer. */
+void cw_http_call(struct cw_http_client *c, const struct cw_http_request *r,
+                  void (*done)(void *arg, enum cw_status s,
+                               const struct cw_http_answer *a),
+                  void *arg);
+
+#endif
