--- /dev/null
+++ b/tests/test_op.c
@@ -0,0 +1,233 @@
+/* Guards the steps of a VM operation one by one: lost responses, outages and
+ * a holder that wakes up late. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "cuminwalk.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct cw_op_in
+base(enum cw_op_kind kind, enum cw_op_step step)
+{
+    return (struct cw_op_in){
+        .wall = 100000,
+        .kind = kind,
+        .step = step,
+        .step_offset = 50,
+        .step_wall = 99000,
+        .to = kind == CW_OP_MOVE ? CW_LIT("b") : CW_LIT("a"),
+        .incarnation = 7,
+        .drain_ms = 60000,
+        .log_available = true,
+        .confirmed = true,
+        .members = 3,
+        .members_drained = 3,
+        .status = {.known = true,
+                   .state = CW_OP_VM_DRAINED,
+                   .pool = CW_LIT("a"),
+                   .incarnation = 7,
+                   .fence = 40},
+    };
+}
+
+static struct cw_op_out
+decide(const struct cw_op_in *in)
+{
+    struct cw_op_params p = cw_op_defaults();
+    struct cw_op_out out;
+    cw_op_decide(&p, in, &out);
+    return out;
+}
+
+/* The call of each step is repeated while the status shows that it had no
+ * effect, and never after it had one, whether or not its response came. */
+static void
+test_lost_response(void **state)
+{
+    (void)state;
+    static const struct {
+        enum cw_op_kind kind;
+        enum cw_op_step step;
+        enum cw_op_vm_state before;
+        enum cw_op_call call;
+        enum cw_op_vm_state after;
+        const char *pool;
+        uint64_t incarnation;
+        enum cw_op_action then;
+        enum cw_op_step next;
+    } cases[] = {
+        {CW_OP_MAINTAIN, CW_STEP_DRAINING, CW_OP_VM_READY, CW_OP_CALL_DRAIN,
+         CW_OP_VM_DRAINED, "a", 7, CW_OP_APPEND, CW_STEP_DRAINED},
+        {CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_DRAINED,
+         CW_OP_CALL_REBOOT, CW_OP_VM_REBOOTING, "a", 7, CW_OP_APPEND,
+         CW_STEP_RETURNING},
+        {CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_DRAINED,
+         CW_OP_CALL_REBOOT, CW_OP_VM_READY, "a", 8, CW_OP_APPEND,
+         CW_STEP_RETURNING},
+        {CW_OP_MOVE, CW_STEP_ASSIGNING, CW_OP_VM_DRAINED, CW_OP_CALL_ASSIGN,
+         CW_OP_VM_REBOOTING, "b", 7, CW_OP_APPEND, CW_STEP_RETURNING},
+        {CW_OP_MOVE, CW_STEP_RETURNING, CW_OP_VM_DRAINED, CW_OP_CALL_UNDRAIN,
+         CW_OP_VM_READY, "b", 8, CW_OP_APPEND, CW_STEP_DONE},
+        {CW_OP_MOVE, CW_STEP_CANCELLED, CW_OP_VM_DRAINED, CW_OP_CALL_UNDRAIN,
+         CW_OP_VM_READY, "a", 7, CW_OP_SETTLED, 0},
+        {CW_OP_MAINTAIN, CW_STEP_FAILED, CW_OP_VM_DRAINED, CW_OP_CALL_UNDRAIN,
+         CW_OP_VM_READY, "a", 8, CW_OP_SETTLED, 0},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_op_in in = base(cases[i].kind, cases[i].step);
+        in.status.state = cases[i].before;
+        struct cw_op_out out = decide(&in);
+        assert_int_equal(out.action, CW_OP_CALL);
+        assert_int_equal(out.call, cases[i].call);
+        assert_true(out.fence == 50);
+        in.status.known = false;
+        assert_int_equal(decide(&in).action, CW_OP_ASK);
+        in.status.known = true;
+        assert_int_equal(decide(&in).action, CW_OP_CALL);
+        in.status.state = cases[i].after;
+        in.status.pool = cw_str_from(cases[i].pool);
+        in.status.incarnation = cases[i].incarnation;
+        in.status.fence = 50;
+        in.vm_ready = true;
+        out = decide(&in);
+        assert_int_equal(out.action, cases[i].then);
+        assert_int_equal(out.step, cases[i].next);
+    }
+}
+
+/* An outage of the log must not lead to a step that nobody else can see; the
+ * operation continues from its last step. */
+static void
+test_log_outage(void **state)
+{
+    (void)state;
+    static const struct {
+        enum cw_op_kind kind;
+        enum cw_op_step step;
+        enum cw_op_vm_state vm;
+        uint64_t incarnation;
+        enum cw_op_step next;
+    } cases[] = {
+        {CW_OP_MOVE, CW_STEP_DRAINING, CW_OP_VM_DRAINED, 7, CW_STEP_DRAINED},
+        {CW_OP_MOVE, CW_STEP_DRAINED, CW_OP_VM_DRAINED, 7, CW_STEP_ASSIGNING},
+        {CW_OP_MAINTAIN, CW_STEP_DRAINED, CW_OP_VM_DRAINED, 7,
+         CW_STEP_REBOOTING},
+        {CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_REBOOTING, 7,
+         CW_STEP_RETURNING},
+        {CW_OP_MOVE, CW_STEP_RETURNING, CW_OP_VM_READY, 8, CW_STEP_DONE},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_op_in in = base(cases[i].kind, cases[i].step);
+        in.status.state = cases[i].vm;
+        in.status.incarnation = cases[i].incarnation;
+        in.vm_ready = true;
+        in.log_available = false;
+        struct cw_op_out out = decide(&in);
+        assert_int_equal(out.action, CW_OP_WAIT);
+        assert_string_equal(out.reason, "log unavailable");
+        in.log_available = true;
+        out = decide(&in);
+        assert_int_equal(out.action, CW_OP_APPEND);
+        assert_int_equal(out.step, cases[i].next);
+        assert_true(cw_op_follows(cases[i].kind, cases[i].step, out.step));
+    }
+}
+
+/* A holder that wakes in the middle of a move may not make the call that it
+ * had decided on: its membership is not confirmed, and once it reads on, the
+ * fence at pool control is above its own. */
+static void
+test_frozen_holder(void **state)
+{
+    (void)state;
+    struct cw_op_params p = cw_op_defaults();
+    struct cw_op_in in = base(CW_OP_MOVE, CW_STEP_ASSIGNING);
+    struct cw_op_out out;
+    in.confirmed = false;
+    cw_op_decide(&p, &in, &out);
+    assert_int_equal(out.action, CW_OP_WAIT);
+    p.check_confirm = false;
+    cw_op_decide(&p, &in, &out);
+    assert_int_equal(out.action, CW_OP_CALL);
+    in.confirmed = true;
+    in.status.fence = 51;
+    cw_op_decide(&p, &in, &out);
+    assert_int_equal(out.action, CW_OP_WAIT);
+}
+
+/* Requests in flight anywhere keep the VM up; a drain that takes too long
+ * ends in cancelled, and nothing is cancelled after rebooting or assigning. */
+static void
+test_limits(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *name;
+        enum cw_op_kind kind;
+        enum cw_op_step step;
+        uint32_t in_flight;
+        uint32_t drained; /* of 3 members */
+        cw_ms age;
+        bool give_up;
+        enum cw_op_action action;
+        enum cw_op_step next;
+    } cases[] = {
+        {"at the VM", CW_OP_MAINTAIN, CW_STEP_DRAINING, 1, 3, 0, false,
+         CW_OP_WAIT, 0},
+        {"at a member", CW_OP_MAINTAIN, CW_STEP_DRAINING, 0, 2, 0, false,
+         CW_OP_WAIT, 0},
+        {"too long", CW_OP_MAINTAIN, CW_STEP_DRAINING, 1, 3, 60000, false,
+         CW_OP_APPEND, CW_STEP_CANCELLED},
+        {"empty at last", CW_OP_MAINTAIN, CW_STEP_DRAINING, 0, 3, 60000, false,
+         CW_OP_APPEND, CW_STEP_DRAINED},
+        {"hold in drain", CW_OP_MAINTAIN, CW_STEP_DRAINING, 0, 3, 0, true,
+         CW_OP_APPEND, CW_STEP_CANCELLED},
+        {"hold after drain", CW_OP_MOVE, CW_STEP_DRAINED, 0, 3, 0, true,
+         CW_OP_APPEND, CW_STEP_CANCELLED},
+        {"again in flight", CW_OP_MAINTAIN, CW_STEP_REBOOTING, 1, 3, 0, false,
+         CW_OP_WAIT, 0},
+        {"hold in reboot", CW_OP_MAINTAIN, CW_STEP_REBOOTING, 0, 3, 0, true,
+         CW_OP_CALL, 0},
+        {"hold in assign", CW_OP_MOVE, CW_STEP_ASSIGNING, 0, 3, 0, true,
+         CW_OP_CALL, 0},
+        {"never rebooted", CW_OP_MAINTAIN, CW_STEP_REBOOTING, 0, 3, 360000,
+         false, CW_OP_APPEND, CW_STEP_FAILED},
+        {"never assigned", CW_OP_MOVE, CW_STEP_ASSIGNING, 0, 3, 360000, false,
+         CW_OP_CALL, 0},
+        {"does not return", CW_OP_MOVE, CW_STEP_RETURNING, 0, 3, 300000, false,
+         CW_OP_APPEND, CW_STEP_FAILED},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_op_in in = base(cases[i].kind, cases[i].step);
+        in.status.in_flight = cases[i].in_flight;
+        in.members_drained = cases[i].drained;
+        in.wall = in.step_wall + cases[i].age;
+        in.give_up = cases[i].give_up ? "hold" : NULL;
+        if (in.step == CW_STEP_RETURNING) {
+            in.status.state = CW_OP_VM_REBOOTING;
+        }
+        struct cw_op_out out = decide(&in);
+        if (out.action != cases[i].action || out.step != cases[i].next) {
+            print_error("case %s\n", cases[i].name);
+        }
+        assert_int_equal(out.action, cases[i].action);
+        assert_int_equal(out.step, cases[i].next);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_lost_response),
+        cmocka_unit_test(test_log_outage),
+        cmocka_unit_test(test_frozen_holder),
+        cmocka_unit_test(test_limits),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
