--- a/tests/test_op.c
+++ b/tests/test_op.c
@@ -56,27 +56,27 @@
         enum cw_op_vm_state before;
         enum cw_op_call call;
         enum cw_op_vm_state after;
-        const char *pool;
-        uint64_t incarnation;
         enum cw_op_action then;
         enum cw_op_step next;
+        uint32_t incarnation;
+        const char *pool;
     } cases[] = {
         {CW_OP_MAINTAIN, CW_STEP_DRAINING, CW_OP_VM_READY, CW_OP_CALL_DRAIN,
-         CW_OP_VM_DRAINED, "a", 7, CW_OP_APPEND, CW_STEP_DRAINED},
+         CW_OP_VM_DRAINED, CW_OP_APPEND, CW_STEP_DRAINED, 7, "a"},
         {CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_DRAINED,
-         CW_OP_CALL_REBOOT, CW_OP_VM_REBOOTING, "a", 7, CW_OP_APPEND,
-         CW_STEP_RETURNING},
+         CW_OP_CALL_REBOOT, CW_OP_VM_REBOOTING, CW_OP_APPEND,
+         CW_STEP_RETURNING, 7, "a"},
         {CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_DRAINED,
-         CW_OP_CALL_REBOOT, CW_OP_VM_READY, "a", 8, CW_OP_APPEND,
-         CW_STEP_RETURNING},
+         CW_OP_CALL_REBOOT, CW_OP_VM_READY, CW_OP_APPEND, CW_STEP_RETURNING, 8,
+         "a"},
         {CW_OP_MOVE, CW_STEP_ASSIGNING, CW_OP_VM_DRAINED, CW_OP_CALL_ASSIGN,
-         CW_OP_VM_REBOOTING, "b", 7, CW_OP_APPEND, CW_STEP_RETURNING},
+         CW_OP_VM_REBOOTING, CW_OP_APPEND, CW_STEP_RETURNING, 7, "b"},
         {CW_OP_MOVE, CW_STEP_RETURNING, CW_OP_VM_DRAINED, CW_OP_CALL_UNDRAIN,
-         CW_OP_VM_READY, "b", 8, CW_OP_APPEND, CW_STEP_DONE},
+         CW_OP_VM_READY, CW_OP_APPEND, CW_STEP_DONE, 8, "b"},
         {CW_OP_MOVE, CW_STEP_CANCELLED, CW_OP_VM_DRAINED, CW_OP_CALL_UNDRAIN,
-         CW_OP_VM_READY, "a", 7, CW_OP_SETTLED, 0},
+         CW_OP_VM_READY, CW_OP_SETTLED, 0, 7, "a"},
         {CW_OP_MAINTAIN, CW_STEP_FAILED, CW_OP_VM_DRAINED, CW_OP_CALL_UNDRAIN,
-         CW_OP_VM_READY, "a", 8, CW_OP_SETTLED, 0},
+         CW_OP_VM_READY, CW_OP_SETTLED, 0, 8, "a"},
     };
     for (size_t i = 0; i < COUNT(cases); i++) {
         struct cw_op_in in = base(cases[i].kind, cases[i].step);
@@ -107,19 +107,19 @@
 {
     (void)state;
     static const struct {
+        uint64_t incarnation;
         enum cw_op_kind kind;
         enum cw_op_step step;
         enum cw_op_vm_state vm;
-        uint64_t incarnation;
         enum cw_op_step next;
     } cases[] = {
-        {CW_OP_MOVE, CW_STEP_DRAINING, CW_OP_VM_DRAINED, 7, CW_STEP_DRAINED},
-        {CW_OP_MOVE, CW_STEP_DRAINED, CW_OP_VM_DRAINED, 7, CW_STEP_ASSIGNING},
-        {CW_OP_MAINTAIN, CW_STEP_DRAINED, CW_OP_VM_DRAINED, 7,
+        {7, CW_OP_MOVE, CW_STEP_DRAINING, CW_OP_VM_DRAINED, CW_STEP_DRAINED},
+        {7, CW_OP_MOVE, CW_STEP_DRAINED, CW_OP_VM_DRAINED, CW_STEP_ASSIGNING},
+        {7, CW_OP_MAINTAIN, CW_STEP_DRAINED, CW_OP_VM_DRAINED,
          CW_STEP_REBOOTING},
-        {CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_REBOOTING, 7,
+        {7, CW_OP_MAINTAIN, CW_STEP_REBOOTING, CW_OP_VM_REBOOTING,
          CW_STEP_RETURNING},
-        {CW_OP_MOVE, CW_STEP_RETURNING, CW_OP_VM_READY, 8, CW_STEP_DONE},
+        {8, CW_OP_MOVE, CW_STEP_RETURNING, CW_OP_VM_READY, CW_STEP_DONE},
     };
     for (size_t i = 0; i < COUNT(cases); i++) {
         struct cw_op_in in = base(cases[i].kind, cases[i].step);
