--- a/packages/policy/cw_spare.c
+++ b/packages/policy/cw_spare.c
@@ -257,9 +257,9 @@
         struct cw_spare_pool s = after_gifts(pl, i);
         struct cw_spare_pool keep = after_gifts(pl, to);
         uint32_t want = needed(pl->params, &keep) + pl->reserve;
-        bool lacks = keep.vms < want && keep.vms < keep.vms_max;
+        bool lacks = keep.vms < want;
         if (s.spare || is_busy(pl, i) || is_busy(pl, to) ||
-            !can_give(pl->params, &s)) {
+            keep.vms >= keep.vms_max || !can_give(pl->params, &s)) {
             continue;
         }
         if (s.vms > s.vms_max) {
--- a/packages/policy/cw_wave.c
+++ b/packages/policy/cw_wave.c
@@ -111,7 +111,11 @@
         double r = (double)(i + 1) / (double)left;
         rate = r > rate ? r : rate;
     }
-    return rate * (double)(in->wall - latest);
+    /* Nobody could be taken before the oldest VM was old enough. */
+    cw_ms least = (cw_ms)((double)in->maintain_every_ms * p->earliest_share);
+    cw_ms since = in->vm_count > 0 ? order[0].maintained + least : 0;
+    since = latest > since ? latest : since;
+    return rate * (double)(in->wall - since);
 }
 
 static bool
