Wait for late requests of lapsed members before a reboot

An operation now counts as drained only when the membership has been stable for the slot guard.

A VM that is drained again after the undrain call was answered, which only a platform without fences allows, no longer blocks its pool: the operation is settled and a new one brings the VM back.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -952,6 +952,9 @@
     bool confirmed; /* membership confirmed at most 3 s ago */
     uint32_t members;
     uint32_t members_drained; /* that applied the drain, with none in flight */
+    /* No membership change in the last slot_guard_ms. A lapsed member may send
+     * until it notices, and its requests are in no member's report. */
+    bool members_stable;
     /* Not NULL: end the operation if it can still be cancelled. */
     const char *give_up;
     /* The last call of this step was answered well (its response came). */
--- a/packages/policy/cw_op.c
+++ b/packages/policy/cw_op.c
@@ -91,7 +91,8 @@
 static bool
 is_empty(const struct cw_op_params *p, const struct cw_op_in *in)
 {
-    bool members = in->members > 0 && in->members_drained >= in->members;
+    bool members = in->members > 0 && in->members_stable &&
+                   in->members_drained >= in->members;
     return (members || !p->check_members) &&
            (in->status.in_flight == 0 || !p->check_inflight);
 }
@@ -193,15 +194,17 @@
 
 /* After cancelled or failed the VM goes back into service. The call is made
  * even when the VM looks ready: it raises the fence at pool control, so that a
- * drain or reboot call still on its way is refused. */
+ * drain or reboot call still on its way is refused. A VM that is drained
+ * although the call was answered was drained by a later call; only a new
+ * operation brings it back. */
 static void
 decide_undo(const struct cw_op_in *in, struct cw_op_out *out)
 {
     if (in->status.state == CW_OP_VM_REBOOTING) {
         wait_for(out, "VM rebooting");
     }
-    else if (in->status.state == CW_OP_VM_READY &&
-             (in->call_answered || in->status.fence >= in->step_offset)) {
+    else if (in->call_answered || (in->status.state == CW_OP_VM_READY &&
+                                   in->status.fence >= in->step_offset)) {
         out->action = CW_OP_SETTLED;
     }
     else {
