--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -685,8 +685,8 @@
 
 /* A daemon in force, as the replicated state names it. */
 struct cw_slot_member {
-    struct cw_name daemon;
     uint64_t incarnation;
+    struct cw_name daemon;
     struct cw_name dc;
 };
 
