Remove VMs that left the fleet from the state

Change: a vm record with gone removes a VM of that incarnation that has no open operation. Figures: test_state passes with test_vm_gone.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -442,6 +442,7 @@
     struct cw_name dc;
     struct cw_name rack;
     struct cw_name address; /* endpoint, ip:port */
+    bool gone;              /* the VM has left the fleet for good */
 };
 
 struct cw_rec_op {
--- a/packages/state/cw_index.c
+++ b/packages/state/cw_index.c
@@ -158,6 +158,21 @@
     cw_index_pool(s, cw_name_str(&e->doc.pool))->doc = e;
 }
 
+void
+cw_state_remove_vm(struct cw_state *s, struct cw_vm_entry *e)
+{
+    size_t i = 0;
+    while (s->vms[i] != e) {
+        i++;
+    }
+    s->vm_count--;
+    memmove(&s->vms[i], &s->vms[i + 1],
+            (s->vm_count - i) * sizeof(struct cw_vm_entry *));
+    cw_map_remove(&cw_index(s)->vms, cw_name_str(&e->vm));
+    cw_index_pool(s, cw_name_str(&e->pool))->vms--;
+    free(e);
+}
+
 void
 cw_state_add_doc(struct cw_state *s, struct cw_doc_entry *e)
 {
--- a/packages/state/cw_index.h
+++ b/packages/state/cw_index.h
@@ -67,6 +67,8 @@
  * state owns the entry afterwards. */
 void cw_state_add_doc(struct cw_state *s, struct cw_doc_entry *e);
 void cw_state_add_vm(struct cw_state *s, struct cw_vm_entry *e);
+/* Takes the VM out of the state and frees it. */
+void cw_state_remove_vm(struct cw_state *s, struct cw_vm_entry *e);
 void cw_state_add_op(struct cw_state *s, struct cw_op_entry *e);
 void cw_state_add_wave(struct cw_state *s, struct cw_wave_entry *e);
 void cw_state_add_edit(struct cw_state *s, struct cw_edit_entry *e);
--- a/packages/state/cw_record.c
+++ b/packages/state/cw_record.c
@@ -132,6 +132,7 @@
     cw_jget_name(o, "dc", true, &v->dc);
     cw_jget_name(o, "rack", true, &v->rack);
     cw_jget_address(o, "address", true, 1, &v->address);
+    cw_jget_bool(o, "gone", false, &v->gone);
 }
 
 static void
@@ -395,6 +396,9 @@
         put_name(b, "dc", &r->u.vm.dc);
         put_name(b, "rack", &r->u.vm.rack);
         put_name(b, "address", &r->u.vm.address);
+        if (r->u.vm.gone) {
+            cw_buf_addf(b, ",\"gone\":true");
+        }
         break;
     case CW_REC_OP:
         print_op(&r->u.op, b);
--- a/packages/state/cw_state.c
+++ b/packages/state/cw_state.c
@@ -261,12 +261,32 @@
 
 /* ---- VMs ------------------------------------------------------------ */
 
+/* A VM that has left for good is forgotten. While an operation on it is open
+ * the operation has to end first, as failed. */
+static enum cw_apply
+remove_vm(struct cw_state *s, const struct cw_rec_vm *v, struct cw_vm_entry *e)
+{
+    if (e == NULL || v->incarnation < e->incarnation) {
+        return reject(s, "no VM %s of incarnation %llu", v->vm.text,
+                      (unsigned long long)v->incarnation);
+    }
+    if (e->op.len > 0) {
+        return reject(s, "VM %s has the open operation %s", v->vm.text,
+                      e->op.text);
+    }
+    cw_state_remove_vm(s, e);
+    return CW_APPLY_OK;
+}
+
 static enum cw_apply
 apply_vm(struct cw_state *s, uint64_t offset, const struct cw_record *r)
 {
     const struct cw_rec_vm *v = &r->u.vm;
     struct cw_vm_entry *e = cw_map_get(&cw_index(s)->vms, cw_name_str(&v->vm));
     bool known = e != NULL;
+    if (v->gone) {
+        return remove_vm(s, v, e);
+    }
     if (known && v->incarnation <= e->incarnation) {
         return reject(s, "VM %s has incarnation %llu already", v->vm.text,
                       (unsigned long long)e->incarnation);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -199,6 +199,44 @@
     cw_state_finish(&s);
 }
 
+/* VMs are replaced every day: one that left must not stay in its pool's count
+ * for ever, and a late report of an older incarnation must not remove a VM
+ * that has come back. */
+static void
+test_vm_gone(void **state)
+{
+    (void)state;
+    static const struct {
+        int incarnation;
+        enum cw_apply want;
+        size_t left;
+    } cases[] = {
+        {1, CW_APPLY_REJECTED, 2},
+        {2, CW_APPLY_OK, 1},
+        {2, CW_APPLY_REJECTED, 1},
+    };
+    struct cw_state s;
+    cw_state_init(&s);
+    feed_vm(&s, "v1", "p");
+    feed_vm(&s, "v2", "p");
+    char text[256];
+    static const char body[] =
+        "\"type\":\"vm\",\"vm\":\"v1\",\"incarnation\":%d,\"pool\":\"p\","
+        "\"dc\":\"dc1\",\"rack\":\"k\",\"address\":\"127.0.0.1:2\"%s";
+    snprintf(text, sizeof(text), body, 2, "");
+    assert_int_equal(feed_id(&s, NULL, "d1", text), CW_APPLY_OK);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        snprintf(text, sizeof(text), body, cases[i].incarnation,
+                 ",\"gone\":true");
+        assert_int_equal(feed_id(&s, NULL, "d1", text), cases[i].want);
+        assert_int_equal(cw_state_pool_size(&s, CW_LIT("p")), cases[i].left);
+        assert_int_equal(s.vm_count, cases[i].left);
+    }
+    assert_null(cw_state_vm(&s, CW_LIT("v1")));
+    assert_non_null(cw_state_vm(&s, CW_LIT("v2")));
+    cw_state_finish(&s);
+}
+
 /* The pool changes at assigning only; a step out of order would reboot a VM
  * that has not been drained. */
 static void
@@ -753,6 +791,7 @@
         cmocka_unit_test(test_offset_passed),
         cmocka_unit_test(test_membership),
         cmocka_unit_test(test_vm_records),
+        cmocka_unit_test(test_vm_gone),
         cmocka_unit_test(test_op_steps),
         cmocka_unit_test(test_one_op_per_vm),
         cmocka_unit_test(test_former_holder),
