Add the operators' and analysts' program

Cause: documents are edited and a week is explained through the log, and there was no program for either. Change: packages/cli has check, diff, apply, get, history, status, moves and report, with popt for options and libcurl for HTTP.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PREFIX ?= /usr/local
 DESTDIR ?=
 SAN ?=
-DEPS := libuv jansson libprotobuf-c libxxhash popt openssl
+DEPS := libuv jansson libprotobuf-c libxxhash popt openssl libcurl
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith
 PKGS := base wire config state policy ports daemon cli
@@ -20,7 +20,7 @@
 	$(addprefix -Ipackages/,$(PKGS)) -Istandins -Itests
 CFLAGS += -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -MMD -MP
 LDFLAGS += $(SANFLAGS)
-LIBS = -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljansson -lxxhash -lpopt -lm -lpthread
+LIBS = -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljansson -lxxhash -lpopt -lcurl -lm -lpthread
 
 src = $(wildcard packages/$(1)/*.c)
 obj = $(patsubst %.c,$(BUILD)/%.o,$(call src,$(1)))
--- /dev/null
+++ b/packages/cli/cli.h
@@ -0,0 +1,219 @@
+/* The operators' and analysts' program: shared by its commands. */
+#ifndef CLI_H
+#define CLI_H
+
+#include "cuminwalk.h"
+
+#include <jansson.h>
+
+enum cli_exit {
+    CLI_OK = 0,
+    CLI_FAULT = 1,       /* fault in the input */
+    CLI_USAGE = 2,       /* wrong command line */
+    CLI_UNAVAILABLE = 3, /* platform or daemon cannot be reached */
+    CLI_CONFLICT = 4,    /* another edit came first */
+    CLI_LATE = 5,        /* accepted, but not in force everywhere in time */
+};
+
+enum cli_format { CLI_TEXT, CLI_JSON, CLI_CSV };
+
+/* Options of one run and its outputs. */
+struct cli {
+    const char *platform; /* ip:port of the platform, or NULL */
+    const char *daemon;   /* ip:port of a daemon's admin listener, or NULL */
+    enum cli_format format;
+    bool has_base;
+    uint64_t base;
+    const char *by;
+    cw_ms timeout_ms;
+    cw_ms append_ms; /* after this an append's answer counts as lost */
+    bool has_from;
+    bool has_to;
+    cw_ms from; /* wall */
+    cw_ms to;
+    const char **files; /* arguments after the command, NULL at the end */
+    size_t file_count;
+    struct cw_clock clock;
+    FILE *out;
+    FILE *err;
+    char msg[CW_MSG_MAX];
+};
+
+/* Runs the program; argv as in main. */
+int cli_run(int argc, const char **argv);
+
+/* ---- commands and queries ------------------------------------------- */
+
+int cli_check(struct cli *c);
+int cli_apply(struct cli *c);
+int cli_diff(struct cli *c);
+int cli_get(struct cli *c);
+int cli_history(struct cli *c);
+int cli_status(struct cli *c);
+int cli_moves(struct cli *c);
+int cli_report(struct cli *c);
+
+/* ---- HTTP ----------------------------------------------------------- */
+
+struct cli_reply {
+    long status;
+    struct cw_buf body;
+};
+
+/* Sends one request to an ip:port; body NULL means GET. CW_OK when any
+ * response came; CW_ERR_UNAVAILABLE when nothing was sent; CW_ERR_UNKNOWN
+ * when it was sent and no response came. c->msg says why. Release the reply
+ * with cli_reply_finish in every case. */
+enum cw_status cli_http(struct cli *c, const char *address, const char *path,
+                        const struct cw_buf *body, cw_ms timeout_ms,
+                        struct cli_reply *reply);
+void cli_reply_finish(struct cli_reply *reply);
+
+/* ---- log ------------------------------------------------------------ */
+
+/* The state replayed from the platform's log. */
+struct cli_log {
+    struct cw_state state;
+    uint64_t next;
+    /* Set by cli_log_follow when the record with this id has been read. */
+    struct cw_name wanted; /* empty for none */
+    bool found;
+};
+
+void cli_log_init(struct cli_log *l);
+void cli_log_finish(struct cli_log *l);
+/* Reads the stream from its begin, or from a snapshot, to its end. */
+enum cw_status cli_log_load(struct cli *c, struct cli_log *l);
+/* Reads and applies what has come since; waits up to wait_ms for a record. */
+enum cw_status cli_log_follow(struct cli *c, struct cli_log *l, cw_ms wait_ms);
+/* Appends one record; statuses as in cli_http, a refusal is
+ * CW_ERR_UNAVAILABLE or CW_ERR_INVALID. */
+enum cw_status cli_log_append(struct cli *c, const struct cw_record *r,
+                              cw_ms timeout_ms);
+/* Loads the log or prints why not; returns an exit code. */
+int cli_open_log(struct cli *c, struct cli_log *l);
+
+/* ---- members -------------------------------------------------------- */
+
+struct cli_member {
+    struct cw_name daemon;
+    uint64_t incarnation;
+    struct cw_name dc;
+    uint64_t applied;
+    cw_ms age_ms; /* since the asked daemon heard from it */
+};
+
+#define CLI_MEMBERS_MAX 256
+
+struct cli_members {
+    size_t count;
+    struct cli_member items[CLI_MEMBERS_MAX];
+};
+
+/* Parses the answer of GET /members; the answering daemon is one of them. */
+enum cw_status cli_members_parse(struct cli_members *m, struct cw_str json,
+                                 char *msg);
+/* Asks the daemon that --daemon names. */
+enum cw_status cli_members_get(struct cli *c, struct cli_members *m);
+/* Writes the names of members of the state that have not reached offset, with
+ * what is known of each, and returns their number. */
+size_t cli_members_late(const struct cw_state *s, const struct cli_members *m,
+                        uint64_t offset, struct cw_buf *names);
+
+/* ---- pure parts ----------------------------------------------------- */
+
+/* Calls each for every difference between two JSON values, with its path;
+ * a or b is NULL when the value is on one side only. Elements of arrays are
+ * matched by their member "name" where all have one, otherwise by place. */
+void cli_diff_values(const json_t *a, const json_t *b,
+                     void (*each)(void *ctx, const char *path, const json_t *a,
+                                  const json_t *b),
+                     void *ctx);
+
+/* One service over the report's time. */
+struct cli_service_report {
+    struct cw_name service;
+    bool has_doc;
+    double target;
+    uint64_t ok;
+    uint64_t failed;
+    uint64_t shed;
+    uint64_t unknown;
+    uint64_t p99_us; /* highest in the time */
+    uint64_t idle_slot_ms;
+    uint64_t busy_slot_ms;
+    uint32_t moves_in;
+    uint32_t moves_out;
+    uint32_t maintained;
+    uint32_t cancelled;
+    uint32_t failed_ops;
+};
+
+/* An accepted edit and the operations that cite its version. */
+struct cli_doc_report {
+    const struct cw_edit_entry *edit;
+    uint32_t ops;
+    uint32_t open_ops;
+    cw_ms rollout_ms; /* until the last of these ended; 0 without any */
+};
+
+/* What a report shows; pointers go into the state. */
+struct cli_report_data {
+    cw_ms from;
+    cw_ms to;
+    size_t service_count;
+    struct cli_service_report *services; /* sorted by name */
+    size_t wave_count;
+    const struct cw_wave_entry **waves;
+    size_t doc_count;
+    struct cli_doc_report *docs;
+    size_t refused; /* edits */
+    size_t move_count;
+    const struct cw_op_entry **moves;
+};
+
+enum cw_status cli_report_make(struct cli_report_data *r,
+                               const struct cw_state *s, cw_ms from, cw_ms to);
+void cli_report_finish(struct cli_report_data *r);
+uint64_t cli_service_requests(const struct cli_service_report *x);
+/* Share of requests answered well, 1 without requests. */
+double cli_service_availability(const struct cli_service_report *x);
+/* Failures allowed at the target, and their use as a share; 0 without a
+ * document. */
+double cli_service_allowed(const struct cli_service_report *x);
+double cli_service_budget_used(const struct cli_service_report *x);
+/* Idle share of the slot time. */
+double cli_service_idle(const struct cli_service_report *x);
+/* Time from the first step to the last one so far. */
+cw_ms cli_op_duration(const struct cw_op_entry *e);
+/* Service whose pool is the given one, or "-". */
+const char *cli_pool_service(const struct cw_state *s,
+                             const struct cw_name *pool);
+/* The service of a wave's pool, or "-". */
+const char *cli_wave_service(const struct cw_state *s,
+                             const struct cw_wave_entry *w);
+
+void cli_report_text(const struct cli_report_data *r, const struct cw_state *s,
+                     struct cw_buf *out);
+json_t *cli_report_json(const struct cli_report_data *r,
+                        const struct cw_state *s);
+void cli_report_csv(const struct cli_report_data *r, const struct cw_state *s,
+                    struct cw_buf *out);
+
+/* ---- output --------------------------------------------------------- */
+
+/* Prints and releases a JSON value; returns CLI_OK. */
+int cli_print_json(struct cli *c, json_t *v);
+/* JSON values of names, times and operations. */
+json_t *cli_json_name(const struct cw_name *n);
+json_t *cli_json_time(cw_ms wall);
+json_t *cli_json_op(const struct cw_op_entry *e);
+/* Reads a whole file of at most CW_DOC_MAX bytes, "-" for standard input. */
+enum cw_status cli_read_file(struct cli *c, const char *path,
+                             struct cw_buf *out);
+/* Reads and checks a document and prints its faults; exit code. *doc and
+ * *text are set on CLI_OK only. */
+int cli_read_doc(struct cli *c, const char *path, struct cw_doc *doc,
+                 struct cw_buf *text);
+
+#endif
--- /dev/null
+++ b/packages/cli/cli_log.c
@@ -0,0 +1,354 @@
+/* Reading the platform's log into a state, and appending to it. */
+#include "cli.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PAGE_RECORDS 1000
+#define READ_MS 10000 /* for one page, besides the time it waits */
+#define LOADS_MAX 3   /* begins anew when the retention passes by */
+
+/* Records read while it is not known yet from where to replay. */
+struct kept {
+    uint64_t offset;
+    cw_ms time;
+    char *text;
+};
+
+struct page {
+    uint64_t first;
+    uint64_t next;
+    json_t *json;
+    const json_t *records;
+};
+
+void
+cli_log_init(struct cli_log *l)
+{
+    memset(l, 0, sizeof(*l));
+    cw_state_init(&l->state);
+    l->next = 1;
+}
+
+void
+cli_log_finish(struct cli_log *l)
+{
+    cw_state_finish(&l->state);
+}
+
+static enum cw_status
+bad_answer(struct cli *c, const char *what)
+{
+    return cw_fail(c->msg, CW_ERR_UNAVAILABLE,
+                   "%s: %s; check that --platform names the platform",
+                   c->platform, what);
+}
+
+/* Reads one page. CW_ERR_NOT_FOUND when from is no longer kept; page->first
+ * then says what is. */
+static enum cw_status
+read_page(struct cli *c, uint64_t from, cw_ms wait_ms, struct page *p)
+{
+    memset(p, 0, sizeof(*p));
+    char path[128];
+    snprintf(path, sizeof(path), "/log/config?from=%llu&max=%d&wait_ms=%lld",
+             (unsigned long long)from, PAGE_RECORDS, (long long)wait_ms);
+    struct cli_reply reply;
+    enum cw_status s =
+        cli_http(c, c->platform, path, NULL, READ_MS + wait_ms, &reply);
+    if (s != CW_OK) {
+        cli_reply_finish(&reply);
+        return CW_ERR_UNAVAILABLE; /* a read changes nothing */
+    }
+    long status = reply.status;
+    json_t *v = reply.body.len == 0
+                    ? NULL
+                    : json_loadb(reply.body.ptr, reply.body.len, 0, NULL);
+    cli_reply_finish(&reply);
+    p->first = (uint64_t)json_integer_value(json_object_get(v, "first"));
+    if (status == 410 && p->first > 0) {
+        json_decref(v);
+        return CW_ERR_NOT_FOUND;
+    }
+    if (status == 503) {
+        json_decref(v);
+        return cw_fail(c->msg, CW_ERR_UNAVAILABLE,
+                       "%s: the log is unavailable; try again later",
+                       c->platform);
+    }
+    if (status != 200) {
+        json_decref(v);
+        char what[64];
+        snprintf(what, sizeof(what), "the log answers with status %ld",
+                 status);
+        return bad_answer(c, what);
+    }
+    p->next = (uint64_t)json_integer_value(json_object_get(v, "next"));
+    p->records = json_object_get(v, "records");
+    p->json = v;
+    if (p->next == 0 || !json_is_array(p->records)) {
+        json_decref(v);
+        return bad_answer(c, "the log's answer is malformed");
+    }
+    return CW_OK;
+}
+
+static void
+apply_text(struct cli_log *l, uint64_t offset, cw_ms time, const char *text)
+{
+    struct cw_record r;
+    char msg[CW_MSG_MAX];
+    if (cw_record_parse(&r, cw_str_from(text), msg) == CW_OK) {
+        if (cw_name_eq(&r.id, &l->wanted)) {
+            l->found = true;
+        }
+        (void)cw_state_apply(&l->state, offset, &r);
+        cw_record_finish(&r);
+    }
+    else {
+        cw_state_skip(&l->state, offset);
+    }
+    cw_state_advance(&l->state, time);
+}
+
+/* Calls each for the records of a page. */
+static void
+each_record(const struct page *p,
+            void (*each)(void *ctx, uint64_t offset, cw_ms time, char *text),
+            void *ctx)
+{
+    for (size_t i = 0; i < json_array_size(p->records); i++) {
+        const json_t *v = json_array_get(p->records, i);
+        char *text = json_dumps(json_object_get(v, "data"),
+                                JSON_COMPACT | JSON_ENCODE_ANY);
+        each(ctx, (uint64_t)json_integer_value(json_object_get(v, "offset")),
+             json_integer_value(json_object_get(v, "time")),
+             text == NULL ? strdup("") : text);
+    }
+}
+
+static void
+apply_each(void *ctx, uint64_t offset, cw_ms time, char *text)
+{
+    if (text != NULL) {
+        apply_text(ctx, offset, time, text);
+    }
+    free(text);
+}
+
+enum cw_status
+cli_log_follow(struct cli *c, struct cli_log *l, cw_ms wait_ms)
+{
+    for (;;) {
+        struct page p;
+        enum cw_status s = read_page(c, l->next, wait_ms, &p);
+        if (s != CW_OK) {
+            return s;
+        }
+        bool more = json_array_size(p.records) > 0;
+        each_record(&p, apply_each, l);
+        l->next = p.next > l->next ? p.next : l->next;
+        json_decref(p.json);
+        if (!more) {
+            return CW_OK;
+        }
+        wait_ms = 0;
+    }
+}
+
+/* ---- start from a snapshot ------------------------------------------ */
+
+struct kept_list {
+    struct kept *items;
+    size_t count;
+    size_t cap;
+    bool failed;
+};
+
+static void
+keep_each(void *ctx, uint64_t offset, cw_ms time, char *text)
+{
+    struct kept_list *k = ctx;
+    if (k->count == k->cap) {
+        size_t cap = k->cap == 0 ? 1024 : 2 * k->cap;
+        struct kept *items = realloc(k->items, cap * sizeof(*items));
+        if (items == NULL) {
+            k->failed = true;
+            free(text);
+            return;
+        }
+        k->items = items;
+        k->cap = cap;
+    }
+    k->failed = k->failed || text == NULL;
+    k->items[k->count++] = (struct kept){offset, time, text};
+}
+
+static void
+kept_finish(struct kept_list *k)
+{
+    for (size_t i = 0; i < k->count; i++) {
+        free(k->items[i].text);
+    }
+    free(k->items);
+}
+
+static bool
+parse_snap(const struct kept *k, struct cw_record *r)
+{
+    char msg[CW_MSG_MAX];
+    if (strstr(k->text, "\"snap\"") == NULL ||
+        cw_record_parse(r, cw_str_from(k->text), msg) != CW_OK) {
+        return false;
+    }
+    if (r->type != CW_REC_SNAP) {
+        cw_record_finish(r);
+        return false;
+    }
+    return true;
+}
+
+/* Imports the cycle whose last part is at index end: each part in its order,
+ * from one writer. False when one is missing or does not fit. */
+static bool
+import_cycle(struct cw_state *s, const struct kept_list *k, size_t end)
+{
+    struct cw_record last;
+    if (!parse_snap(&k->items[end], &last)) {
+        return false;
+    }
+    bool ok = last.u.snap.part == last.u.snap.parts &&
+              last.u.snap.as_of + 1 >= k->items[0].offset;
+    uint32_t want = 1;
+    for (size_t i = 0; ok && i <= end; i++) {
+        struct cw_record r;
+        if (!parse_snap(&k->items[i], &r)) {
+            continue;
+        }
+        if (cw_name_eq(&r.u.snap.cycle, &last.u.snap.cycle) &&
+            cw_name_eq(&r.by, &last.by) && r.u.snap.part == want) {
+            ok = r.u.snap.as_of == last.u.snap.as_of &&
+                 cw_state_import(s, r.u.snap.items) == CW_OK;
+            want++;
+        }
+        cw_record_finish(&r);
+    }
+    ok = ok && want == last.u.snap.parts + 1;
+    if (ok) {
+        cw_state_import_done(s, last.u.snap.as_of);
+    }
+    cw_record_finish(&last);
+    return ok;
+}
+
+static enum cw_status
+load_from_snapshot(struct cli *c, struct cli_log *l, uint64_t first)
+{
+    struct kept_list k = {.count = 0};
+    struct page p;
+    enum cw_status s;
+    bool more = true;
+    l->next = first;
+    while ((s = read_page(c, l->next, 0, &p)) == CW_OK && more) {
+        more = json_array_size(p.records) > 0;
+        each_record(&p, keep_each, &k);
+        l->next = p.next;
+        json_decref(p.json);
+    }
+    if (s == CW_OK) {
+        json_decref(p.json);
+    }
+    if (s == CW_OK && k.failed) {
+        s = cw_fail(c->msg, CW_ERR_NOMEM, "out of memory");
+    }
+    bool loaded = false;
+    for (size_t i = k.count; s == CW_OK && !loaded && i-- > 0;) {
+        cw_state_finish(&l->state);
+        cw_state_init(&l->state);
+        loaded = import_cycle(&l->state, &k, i);
+    }
+    for (size_t i = 0; loaded && i < k.count; i++) {
+        if (k.items[i].offset > l->state.applied) {
+            apply_text(l, k.items[i].offset, k.items[i].time, k.items[i].text);
+        }
+    }
+    kept_finish(&k);
+    if (s == CW_OK && !loaded) {
+        return cw_fail(c->msg, CW_ERR_UNAVAILABLE,
+                       "%s: the log begins at offset %llu and keeps no "
+                       "complete snapshot; wait until a daemon has written "
+                       "one",
+                       c->platform, (unsigned long long)first);
+    }
+    return s;
+}
+
+enum cw_status
+cli_log_load(struct cli *c, struct cli_log *l)
+{
+    enum cw_status s = CW_ERR_NOT_FOUND;
+    for (int i = 0; i < LOADS_MAX && s == CW_ERR_NOT_FOUND; i++) {
+        cli_log_finish(l);
+        cli_log_init(l);
+        struct page p;
+        s = read_page(c, 1, 0, &p);
+        if (s == CW_OK) {
+            json_decref(p.json);
+            s = cli_log_follow(c, l, 0);
+        }
+        else if (s == CW_ERR_NOT_FOUND) {
+            s = load_from_snapshot(c, l, p.first);
+        }
+    }
+    if (s == CW_ERR_NOT_FOUND) {
+        return bad_answer(c,
+                          "the log drops records faster than they are read");
+    }
+    return s;
+}
+
+int
+cli_open_log(struct cli *c, struct cli_log *l)
+{
+    cli_log_init(l);
+    if (c->platform == NULL) {
+        fprintf(c->err, "cuminwalk: no platform; give --platform ip:port or "
+                        "set CUMINWALK_PLATFORM\n");
+        return CLI_USAGE;
+    }
+    if (cli_log_load(c, l) != CW_OK) {
+        fprintf(c->err, "cuminwalk: cannot read the log: %s\n", c->msg);
+        return CLI_UNAVAILABLE;
+    }
+    return CLI_OK;
+}
+
+/* ---- append --------------------------------------------------------- */
+
+enum cw_status
+cli_log_append(struct cli *c, const struct cw_record *r, cw_ms timeout_ms)
+{
+    struct cw_buf body;
+    cw_buf_init(&body);
+    cw_buf_add(&body, "[", 1);
+    enum cw_status s = cw_record_print(r, &body);
+    cw_buf_add(&body, "]", 1);
+    if (s != CW_OK || body.failed) {
+        cw_buf_finish(&body);
+        return cw_fail(c->msg, CW_ERR_NOMEM, "out of memory");
+    }
+    struct cli_reply reply;
+    s = cli_http(c, c->platform, "/log/config", &body, timeout_ms, &reply);
+    cw_buf_finish(&body);
+    if (s == CW_OK && reply.status != 200) {
+        /* 503 and 4xx say that nothing took effect; of others that is not
+         * known. */
+        s = reply.status == 503                         ? CW_ERR_UNAVAILABLE
+            : reply.status >= 400 && reply.status < 500 ? CW_ERR_INVALID
+                                                        : CW_ERR_UNKNOWN;
+        (void)cw_fail(c->msg, s, "%s: append answered with status %ld",
+                      c->platform, reply.status);
+    }
+    cli_reply_finish(&reply);
+    return s;
+}
--- /dev/null
+++ b/packages/cli/cli_output.c
@@ -0,0 +1,107 @@
+/* Reading documents and printing values. */
+#include "cli.h"
+
+#include <string.h>
+
+int
+cli_print_json(struct cli *c, json_t *v)
+{
+    if (v == NULL ||
+        json_dumpf(v, c->out, JSON_INDENT(2) | JSON_REAL_PRECISION(9)) != 0) {
+        fprintf(c->err, "cuminwalk: cannot print the answer\n");
+        json_decref(v);
+        return CLI_FAULT;
+    }
+    fputc('\n', c->out);
+    json_decref(v);
+    return CLI_OK;
+}
+
+json_t *
+cli_json_name(const struct cw_name *n)
+{
+    return json_stringn(n->text, n->len);
+}
+
+json_t *
+cli_json_time(cw_ms wall)
+{
+    char text[25];
+    cw_time_format(wall, text);
+    return json_string(text);
+}
+
+json_t *
+cli_json_op(const struct cw_op_entry *e)
+{
+    json_t *steps = json_object();
+    for (int i = 0; i < CW_STEP_COUNT; i++) {
+        if (e->step_time[i] != 0) {
+            json_object_set_new(steps, cw_op_step_name((enum cw_op_step)i),
+                                cli_json_time(e->step_time[i]));
+        }
+    }
+    return json_pack(
+        "{so,ss,so,so,so,so,ss,ss,sI,ss,sb,sI,so}", "op",
+        cli_json_name(&e->rec.op), "kind", cw_op_kind_name(e->rec.kind), "vm",
+        cli_json_name(&e->rec.vm), "from", cli_json_name(&e->rec.from), "to",
+        cli_json_name(&e->rec.to), "wave", cli_json_name(&e->rec.wave),
+        "cause", e->rec.cause, "result", e->rec.result, "doc_version",
+        (json_int_t)e->rec.doc_version, "step", cw_op_step_name(e->rec.step),
+        "open", (int)e->open, "duration_ms", (json_int_t)cli_op_duration(e),
+        "steps", steps);
+}
+
+enum cw_status
+cli_read_file(struct cli *c, const char *path, struct cw_buf *out)
+{
+    bool own = strcmp(path, "-") != 0;
+    FILE *in = own ? fopen(path, "rb") : stdin;
+    if (in == NULL) {
+        return cw_fail(c->msg, CW_ERR_IO, "%s: cannot be opened", path);
+    }
+    char buf[4096];
+    size_t n;
+    while ((n = fread(buf, 1, sizeof(buf), in)) > 0 &&
+           out->len <= CW_DOC_MAX) {
+        cw_buf_add(out, buf, n);
+    }
+    bool bad = ferror(in) != 0 || out->failed;
+    if (own) {
+        (void)fclose(in);
+    }
+    if (bad) {
+        return cw_fail(c->msg, CW_ERR_IO, "%s: cannot be read", path);
+    }
+    return CW_OK;
+}
+
+int
+cli_read_doc(struct cli *c, const char *path, struct cw_doc *doc,
+             struct cw_buf *text)
+{
+    cw_buf_init(text);
+    if (cli_read_file(c, path, text) != CW_OK) {
+        fprintf(c->err, "cuminwalk: %s\n", c->msg);
+        cw_buf_finish(text);
+        return CLI_FAULT;
+    }
+    struct cw_faults f;
+    f.count = 0;
+    enum cw_status s = cw_doc_parse(doc, cw_buf_str(text), &f);
+    if (s == CW_OK) {
+        return CLI_OK;
+    }
+    for (size_t i = 0; i < f.count; i++) {
+        fprintf(c->err, "%s: %s%s%s\n", path, f.items[i].path,
+                f.items[i].path[0] == '\0' ? "" : ": ", f.items[i].text);
+    }
+    if (f.count == CW_FAULTS_MAX) {
+        fprintf(c->err, "%s: there may be more faults\n", path);
+    }
+    if (f.count == 0) {
+        fprintf(c->err, "%s: %s\n", path, cw_status_name(s));
+    }
+    cw_buf_finish(text);
+    return CLI_FAULT;
+}
