--- a/packages/policy/cw_admit.c
+++ b/packages/policy/cw_admit.c
@@ -59,6 +59,7 @@
     struct cw_admit_flow **head = &q->rounds[priority];
     if (*head == NULL) {
         f->prev = f->next = f;
+        f->deficit = q->params.quantum;
         *head = f;
     }
     else {
@@ -76,6 +77,7 @@
     struct cw_admit_flow **head = &q->rounds[f->priority];
     if (*head == f) {
         *head = f->next == f ? NULL : f->next;
+        f->next->deficit += q->params.quantum;
     }
     f->prev->next = f->next;
     f->next->prev = f->prev;
--- /dev/null
+++ b/tests/test_admit.c
@@ -0,0 +1,321 @@
+/* Guards the admission queue: order, fairness, deadlines and bounds. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "cuminwalk.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct cw_admit_item *
+make(uint64_t caller, enum cw_priority priority, cw_ms deadline)
+{
+    struct cw_admit_item *i = calloc(1, sizeof(*i));
+    assert_non_null(i);
+    i->caller = caller;
+    i->priority = priority;
+    i->deadline = deadline;
+    return i;
+}
+
+static enum cw_admit_verdict
+offer(struct cw_admit *q, uint64_t caller, enum cw_priority p, cw_ms deadline,
+      cw_ms now)
+{
+    struct cw_admit_item *evicted;
+    struct cw_admit_item *i = make(caller, p, deadline);
+    enum cw_admit_verdict v = cw_admit_offer(q, i, now, &evicted);
+    if (v != CW_ADMIT_QUEUED) {
+        free(i);
+    }
+    free(evicted);
+    return v;
+}
+
+static void
+drain(struct cw_admit *q)
+{
+    while (q->all_first != NULL) {
+        struct cw_admit_item *i = q->all_first;
+        cw_admit_remove(q, i, 0);
+        free(i);
+    }
+    cw_admit_finish(q);
+}
+
+/* Offers one request per letter at time 0 (upper case urgent, lower case
+ * normal, digits batch; the letter is the caller) and writes the order in
+ * which they leave at time now. Requests of a caller are told apart by their
+ * deadline, which grows by 1. */
+static void
+order(const char *in, char *out, struct cw_admit_params params, cw_ms now,
+      cw_ms *deadlines)
+{
+    struct cw_admit q;
+    params.early_refuse = false;
+    cw_admit_init(&q, params);
+    for (size_t i = 0; in[i] != 0; i++) {
+        enum cw_priority p = in[i] < 'A'   ? CW_BATCH
+                             : in[i] < 'a' ? CW_URGENT
+                                           : CW_NORMAL;
+        assert_int_equal(offer(&q, (uint64_t)in[i], p, 100000 + (cw_ms)i, 0),
+                         CW_ADMIT_QUEUED);
+    }
+    struct cw_admit_item *item;
+    size_t n = 0;
+    while ((item = cw_admit_next(&q, now)) != NULL) {
+        deadlines[n] = item->deadline - 100000;
+        out[n++] = (char)item->caller;
+        free(item);
+    }
+    out[n] = 0;
+    cw_admit_finish(&q);
+}
+
+/* A caller with many requests must not hold up one with few; batch work must
+ * not hold up urgent work. */
+static void
+test_order(void **state)
+{
+    (void)state;
+    struct cw_admit_params unfair = cw_admit_defaults();
+    unfair.fair = false;
+    struct cw_admit_params flat = unfair;
+    flat.priorities = false;
+    const struct {
+        const char *in, *out;
+        struct cw_admit_params params;
+    } cases[] = {
+        {"aaaabbc", "abcabaa", cw_admit_defaults()},
+        {"aaaabbc", "aaaabbc", unfair},
+        {"1aA2bB", "ABab12", cw_admit_defaults()},
+        {"1aA2bB", "1aA2bB", flat},
+        {"", "", cw_admit_defaults()},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        char out[16];
+        cw_ms deadlines[16];
+        order(cases[i].in, out, cases[i].params, 10, deadlines);
+        assert_string_equal(out, cases[i].out);
+    }
+}
+
+/* In a lasting overload the oldest requests are those about to miss their
+ * deadline: serving them first makes every one late. */
+static void
+test_adaptive_lifo(void **state)
+{
+    (void)state;
+    struct cw_admit_params off = cw_admit_defaults();
+    off.lifo_after_ms = 0;
+    const struct {
+        cw_ms now;
+        struct cw_admit_params params;
+        bool newest_first;
+    } cases[] = {{500, cw_admit_defaults(), false},
+                 {1000, cw_admit_defaults(), false},
+                 {1001, cw_admit_defaults(), true},
+                 {5000, off, false}};
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        char out[8];
+        cw_ms d[8];
+        order("aaaa", out, cases[i].params, cases[i].now, d);
+        for (int k = 0; k < 4; k++) {
+            assert_int_equal(d[k], cases[i].newest_first ? 3 - k : k);
+        }
+    }
+}
+
+/* Costs: a caller of large requests must not get more than one of small. */
+static void
+test_deficit(void **state)
+{
+    (void)state;
+    struct cw_admit q;
+    cw_admit_init(&q, cw_admit_defaults());
+    struct cw_admit_item *evicted;
+    for (int i = 0; i < 40; i++) {
+        struct cw_admit_item *a = make(1, CW_NORMAL, 10000);
+        struct cw_admit_item *b = make(2, CW_NORMAL, 10000);
+        a->cost = 4;
+        b->cost = 1;
+        cw_admit_offer(&q, a, 0, &evicted);
+        cw_admit_offer(&q, b, 0, &evicted);
+    }
+    uint32_t cost[3] = {0};
+    for (int i = 0; i < 30; i++) {
+        struct cw_admit_item *item = cw_admit_next(&q, 1);
+        cost[item->caller] += item->cost;
+        free(item);
+    }
+    assert_in_range(cost[1], 20, 28);
+    assert_in_range(cost[2], 20, 28);
+    drain(&q);
+}
+
+/* Fills a queue with n requests of caller 1 and lets it serve 10 per 100 ms,
+ * so that the rate is known. Time runs from 0 to 1000. */
+static void
+setup_busy(struct cw_admit *q, struct cw_admit_params params, uint32_t n)
+{
+    params.lifo_after_ms = 0;
+    cw_admit_init(q, params);
+    for (uint32_t i = 0; i < n + 100; i++) {
+        assert_int_equal(offer(q, 1, CW_NORMAL, 1000000, 0), CW_ADMIT_QUEUED);
+    }
+    for (cw_ms t = 10; t <= 1000; t += 10) {
+        free(cw_admit_next(q, t));
+        cw_admit_served(q, 50, t);
+    }
+    assert_int_equal(q->count, n);
+}
+
+/* A request that waits only to miss its deadline costs its caller the time
+ * that a refusal on arrival would have saved; one that would be served in time
+ * must not be refused because others wait. */
+static void
+test_refuse_early(void **state)
+{
+    (void)state;
+    struct cw_admit_params off = cw_admit_defaults();
+    off.early_refuse = false;
+    const struct {
+        uint64_t caller;
+        enum cw_priority priority;
+        cw_ms left;
+        struct cw_admit_params params;
+        enum cw_admit_verdict verdict;
+    } cases[] = {
+        /* 200 wait, 100 are served in a second */
+        {1, CW_NORMAL, 1500, cw_admit_defaults(), CW_ADMIT_LATE},
+        {1, CW_NORMAL, 3000, cw_admit_defaults(), CW_ADMIT_QUEUED},
+        {1, CW_NORMAL, 1500, off, CW_ADMIT_QUEUED},
+        {1, CW_NORMAL, 0, off, CW_ADMIT_LATE},
+        /* another caller has its turn soon, an urgent request at once */
+        {2, CW_NORMAL, 200, cw_admit_defaults(), CW_ADMIT_QUEUED},
+        {1, CW_URGENT, 200, cw_admit_defaults(), CW_ADMIT_QUEUED},
+        {2, CW_BATCH, 1500, cw_admit_defaults(), CW_ADMIT_LATE},
+        /* the wait fits, the request itself does not */
+        {2, CW_NORMAL, 55, cw_admit_defaults(), CW_ADMIT_LATE},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_admit q;
+        setup_busy(&q, cases[i].params, 200);
+        assert_int_equal(offer(&q, cases[i].caller, cases[i].priority,
+                               1000 + cases[i].left, 1000),
+                         cases[i].verdict);
+        drain(&q);
+    }
+}
+
+/* When every endpoint goes away, the rate of the past would let requests wait
+ * that nobody serves. */
+static void
+test_rate_ages(void **state)
+{
+    (void)state;
+    struct cw_admit q;
+    setup_busy(&q, cw_admit_defaults(), 100);
+    double before = cw_admit_wait_ms(&q, 1, CW_NORMAL, 1010);
+    assert_true(before > 800 && before < 1300);
+    assert_true(cw_admit_wait_ms(&q, 1, CW_NORMAL, 6000) > 20 * before);
+    drain(&q);
+}
+
+/* Without a bound a burst fills the memory; with a plain one a caller that
+ * fills the queue shuts out the others. */
+static void
+test_bound(void **state)
+{
+    (void)state;
+    struct cw_admit_params open = cw_admit_defaults();
+    open.bound = 0;
+    struct cw_admit_params unfair = cw_admit_defaults();
+    unfair.fair = false;
+    const struct {
+        uint64_t caller;
+        enum cw_priority priority;
+        struct cw_admit_params params;
+        enum cw_admit_verdict verdict;
+        uint32_t count;
+    } cases[] = {
+        {1, CW_NORMAL, cw_admit_defaults(), CW_ADMIT_FULL, 512},
+        {2, CW_NORMAL, cw_admit_defaults(), CW_ADMIT_QUEUED, 512},
+        {1, CW_URGENT, cw_admit_defaults(), CW_ADMIT_QUEUED, 512},
+        {2, CW_BATCH, cw_admit_defaults(), CW_ADMIT_FULL, 512},
+        {2, CW_NORMAL, unfair, CW_ADMIT_FULL, 512},
+        {1, CW_NORMAL, open, CW_ADMIT_QUEUED, 513},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_admit q;
+        cw_admit_init(&q, cases[i].params);
+        for (int k = 0; k < 512; k++) {
+            offer(&q, 1, CW_NORMAL, 10000, 0);
+        }
+        assert_int_equal(
+            offer(&q, cases[i].caller, cases[i].priority, 10000, 0),
+            cases[i].verdict);
+        assert_int_equal(q.count, cases[i].count);
+        drain(&q);
+    }
+}
+
+/* A request whose deadline has passed must never be sent, and must be told. */
+static void
+test_expired(void **state)
+{
+    (void)state;
+    struct cw_admit q;
+    cw_admit_init(&q, cw_admit_defaults());
+    offer(&q, 1, CW_NORMAL, 100, 0);
+    offer(&q, 1, CW_NORMAL, 300, 0);
+    offer(&q, 2, CW_NORMAL, 100, 0);
+    assert_int_equal(cw_admit_delay(&q, 50), 50);
+    struct cw_admit_item *sent = cw_admit_next(&q, 200);
+    assert_int_equal(sent->deadline, 300);
+    free(sent);
+    assert_null(cw_admit_next(&q, 200));
+    for (int i = 0; i < 2; i++) {
+        struct cw_admit_item *late = cw_admit_expired(&q, 200);
+        assert_int_equal(late->deadline, 100);
+        free(late);
+    }
+    assert_null(cw_admit_expired(&q, 200));
+    assert_int_equal(q.count, 0);
+    assert_int_equal(cw_admit_delay(&q, 200), 0);
+    cw_admit_finish(&q);
+}
+
+/* A misread priority would put batch work before urgent work. */
+static void
+test_priority_parse(void **state)
+{
+    (void)state;
+    enum cw_priority p = CW_NORMAL;
+    assert_true(cw_priority_parse(CW_LIT("batch"), &p) && p == CW_BATCH);
+    assert_true(cw_priority_parse(CW_LIT("urgent"), &p) && p == CW_URGENT);
+    assert_false(cw_priority_parse(CW_LIT("Urgent"), &p));
+    assert_false(cw_priority_parse(CW_LIT(""), &p));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_order),
+        cmocka_unit_test(test_adaptive_lifo),
+        cmocka_unit_test(test_deficit),
+        cmocka_unit_test(test_refuse_early),
+        cmocka_unit_test(test_rate_ages),
+        cmocka_unit_test(test_bound),
+        cmocka_unit_test(test_expired),
+        cmocka_unit_test(test_priority_parse),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
