--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1176,7 +1176,7 @@
 };
 struct cw_retry_params cw_retry_defaults(void);
 
-#define CW_RETRY_BUCKETS 10
+#define CW_RETRY_BUCKETS 11 /* tenths of the window and the running one */
 
 /* The retry budget of one service on one daemon. */
 struct cw_retry {
--- a/packages/policy/cw_retry.c
+++ b/packages/policy/cw_retry.c
@@ -22,12 +22,18 @@
     }
 }
 
+static cw_ms
+bucket_length(const struct cw_retry *r)
+{
+    cw_ms length = r->params.window_ms / (CW_RETRY_BUCKETS - 1);
+    return length > 0 ? length : 1;
+}
+
 /* The bucket of now, emptied when it last served an earlier time. */
 static size_t
 bucket(struct cw_retry *r, cw_ms now)
 {
-    cw_ms length = r->params.window_ms / CW_RETRY_BUCKETS;
-    length = length > 0 ? length : 1;
+    cw_ms length = bucket_length(r);
     cw_ms start = now - now % length;
     size_t i = (size_t)(now / length) % CW_RETRY_BUCKETS;
     if (r->bucket_start[i] != start) {
@@ -53,7 +59,9 @@
     uint32_t requests = 0;
     uint32_t retries = 0;
     for (int i = 0; i < CW_RETRY_BUCKETS; i++) {
-        if (r->bucket_start[i] > now - r->params.window_ms) {
+        /* A bucket counts until all of it is out of the window. */
+        if (r->bucket_start[i] >
+            now - r->params.window_ms - bucket_length(r)) {
             requests += r->requests[i];
             retries += r->retries[i];
         }
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -187,22 +187,22 @@
     off.early_refuse = false;
     const struct {
         uint64_t caller;
-        enum cw_priority priority;
         cw_ms left;
         struct cw_admit_params params;
+        enum cw_priority priority;
         enum cw_admit_verdict verdict;
     } cases[] = {
         /* 200 wait, 100 are served in a second */
-        {1, CW_NORMAL, 1500, cw_admit_defaults(), CW_ADMIT_LATE},
-        {1, CW_NORMAL, 3000, cw_admit_defaults(), CW_ADMIT_QUEUED},
-        {1, CW_NORMAL, 1500, off, CW_ADMIT_QUEUED},
-        {1, CW_NORMAL, 0, off, CW_ADMIT_LATE},
+        {1, 1500, cw_admit_defaults(), CW_NORMAL, CW_ADMIT_LATE},
+        {1, 3000, cw_admit_defaults(), CW_NORMAL, CW_ADMIT_QUEUED},
+        {1, 1500, off, CW_NORMAL, CW_ADMIT_QUEUED},
+        {1, 0, off, CW_NORMAL, CW_ADMIT_LATE},
         /* another caller has its turn soon, an urgent request at once */
-        {2, CW_NORMAL, 200, cw_admit_defaults(), CW_ADMIT_QUEUED},
-        {1, CW_URGENT, 200, cw_admit_defaults(), CW_ADMIT_QUEUED},
-        {2, CW_BATCH, 1500, cw_admit_defaults(), CW_ADMIT_LATE},
+        {2, 200, cw_admit_defaults(), CW_NORMAL, CW_ADMIT_QUEUED},
+        {1, 200, cw_admit_defaults(), CW_URGENT, CW_ADMIT_QUEUED},
+        {2, 1500, cw_admit_defaults(), CW_BATCH, CW_ADMIT_LATE},
         /* the wait fits, the request itself does not */
-        {2, CW_NORMAL, 55, cw_admit_defaults(), CW_ADMIT_LATE},
+        {2, 55, cw_admit_defaults(), CW_NORMAL, CW_ADMIT_LATE},
     };
     for (size_t i = 0; i < COUNT(cases); i++) {
         struct cw_admit q;
@@ -240,17 +240,17 @@
     unfair.fair = false;
     const struct {
         uint64_t caller;
-        enum cw_priority priority;
         struct cw_admit_params params;
+        enum cw_priority priority;
         enum cw_admit_verdict verdict;
         uint32_t count;
     } cases[] = {
-        {1, CW_NORMAL, cw_admit_defaults(), CW_ADMIT_FULL, 512},
-        {2, CW_NORMAL, cw_admit_defaults(), CW_ADMIT_QUEUED, 512},
-        {1, CW_URGENT, cw_admit_defaults(), CW_ADMIT_QUEUED, 512},
-        {2, CW_BATCH, cw_admit_defaults(), CW_ADMIT_FULL, 512},
-        {2, CW_NORMAL, unfair, CW_ADMIT_FULL, 512},
-        {1, CW_NORMAL, open, CW_ADMIT_QUEUED, 513},
+        {1, cw_admit_defaults(), CW_NORMAL, CW_ADMIT_FULL, 512},
+        {2, cw_admit_defaults(), CW_NORMAL, CW_ADMIT_QUEUED, 512},
+        {1, cw_admit_defaults(), CW_URGENT, CW_ADMIT_QUEUED, 512},
+        {2, cw_admit_defaults(), CW_BATCH, CW_ADMIT_FULL, 512},
+        {2, unfair, CW_NORMAL, CW_ADMIT_FULL, 512},
+        {1, open, CW_NORMAL, CW_ADMIT_QUEUED, 513},
     };
     for (size_t i = 0; i < COUNT(cases); i++) {
         struct cw_admit q;
