--- /dev/null
+++ b/packages/daemon/append.c
@@ -0,0 +1,196 @@
+/* Records on their way into the stream config, until they are read back. */
+#include "cw_modules.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A lost response is resolved by a read that began this long after the
+ * append. */
+#define APPEND_DEADLINE_MS (5 * CW_SECOND)
+
+typedef void (*append_done)(void *arg, enum cw_append_outcome o,
+                            uint64_t offset, const char *reason);
+
+struct cw_append {
+    struct cw_append *next;
+    struct cw_appends *all;
+    struct cw_name id;
+    cw_ms began;
+    bool answered; /* the port's done has run */
+    bool resolved; /* done has run */
+    append_done done;
+    void *arg;
+};
+
+struct cw_appends {
+    struct cw_append *first;
+    bool closing;
+};
+
+struct cw_appends *
+cw_appends_new(void)
+{
+    return calloc(1, sizeof(struct cw_appends));
+}
+
+/* An entry is freed when it is resolved and the port holds no pointer to it.
+ */
+static void
+append_release(struct cw_append *e)
+{
+    struct cw_append **p;
+
+    if (!e->resolved || !e->answered) {
+        return;
+    }
+    for (p = &e->all->first; *p != NULL; p = &(*p)->next) {
+        if (*p == e) {
+            *p = e->next;
+            break;
+        }
+    }
+    free(e);
+}
+
+void
+cw_appends_free(struct cw_appends *a)
+{
+    if (a == NULL) {
+        return;
+    }
+    while (a->first != NULL) {
+        struct cw_append *e = a->first;
+
+        a->first = e->next;
+        free(e);
+    }
+    free(a);
+}
+
+bool
+cw_appends_empty(const struct cw_appends *a)
+{
+    return a->first == NULL;
+}
+
+static void
+append_resolve(struct cw_append *e, enum cw_append_outcome o, uint64_t offset,
+               const char *reason)
+{
+    if (e->resolved) {
+        return;
+    }
+    e->resolved = true;
+    if (o != CW_APPEND_ACCEPTED) {
+        cw_log(CW_INFO, "append", "record=%s outcome=%s offset=%llu",
+               e->id.text, cw_append_outcome_name(o),
+               (unsigned long long)offset);
+    }
+    if (e->done != NULL) {
+        e->done(e->arg, o, offset, reason);
+    }
+}
+
+static void
+append_answered(void *arg, enum cw_status s, uint64_t first)
+{
+    struct cw_append *e = arg;
+
+    (void)first;
+    e->answered = true;
+    if (s == CW_ERR_UNAVAILABLE) {
+        append_resolve(e, CW_APPEND_UNAVAILABLE, 0, "log unavailable");
+    }
+    else if (s == CW_ERR_INVALID || s == CW_ERR_LIMIT) {
+        append_resolve(e, CW_APPEND_ABSENT, 0, "refused by the log");
+    }
+    append_release(e);
+}
+
+static void
+append_fill(struct cw_daemon *d, struct cw_record *r)
+{
+    if (r->id.len == 0) {
+        char text[CW_NAME_MAX + 1];
+        int n = snprintf(text, sizeof(text), "%.24s-%llx-%llx",
+                         d->settings->daemon.text,
+                         (unsigned long long)d->incarnation,
+                         (unsigned long long)++d->record_seq);
+
+        (void)cw_name_set(&r->id, (struct cw_str){text, (size_t)n});
+    }
+    r->by = d->settings->daemon;
+    r->by_incarnation = d->incarnation;
+    r->time = cw_daemon_wall(d);
+}
+
+void
+cw_appends_send(struct cw_appends *a, struct cw_daemon *d, struct cw_record *r,
+                append_done done, void *arg)
+{
+    struct cw_append *e = calloc(1, sizeof(*e));
+    struct cw_buf out;
+
+    append_fill(d, r);
+    cw_buf_init(&out);
+    cw_buf_add(&out, "[", 1);
+    if (e == NULL || cw_record_print(r, &out) != CW_OK) {
+        free(e);
+        cw_buf_finish(&out);
+        cw_log(CW_ERROR, "append_failed", "record=%s", r->id.text);
+        if (done != NULL) {
+            done(arg, CW_APPEND_UNAVAILABLE, 0, "record cannot be printed");
+        }
+        return;
+    }
+    cw_buf_add(&out, "]", 1);
+    e->all = a;
+    e->id = r->id;
+    e->began = cw_daemon_now(d);
+    e->done = done;
+    e->arg = arg;
+    e->next = a->first;
+    a->first = e;
+    d->log.append(d->log.ctx, "config", cw_buf_str(&out), append_answered, e);
+    cw_buf_finish(&out);
+}
+
+void
+cw_appends_seen(struct cw_appends *a, const struct cw_name *id,
+                enum cw_apply result, uint64_t offset, const char *reason)
+{
+    for (struct cw_append *e = a->first; e != NULL; e = e->next) {
+        if (!e->resolved && cw_name_eq(&e->id, id)) {
+            append_resolve(e,
+                           result == CW_APPLY_REJECTED ? CW_APPEND_REJECTED
+                                                       : CW_APPEND_ACCEPTED,
+                           offset, result == CW_APPLY_REJECTED ? reason : "");
+            append_release(e);
+            return;
+        }
+    }
+}
+
+void
+cw_appends_read_end(struct cw_appends *a, cw_ms began)
+{
+    struct cw_append *next;
+
+    for (struct cw_append *e = a->first; e != NULL; e = next) {
+        next = e->next;
+        if (!e->resolved && e->answered &&
+            began >= e->began + APPEND_DEADLINE_MS) {
+            append_resolve(e, CW_APPEND_ABSENT, 0, "not in the log");
+            append_release(e);
+        }
+    }
+}
+
+const char *
+cw_append_outcome_name(enum cw_append_outcome o)
+{
+    static const char *const names[] = {"accepted", "rejected", "absent",
+                                        "unavailable"};
+
+    return names[o];
+}
--- /dev/null
+++ b/packages/daemon/cw_http_server.h
@@ -0,0 +1,36 @@
+/* An h2o HTTP/1.1 listener with one handler for every path. */
+#ifndef CW_HTTP_SERVER_H
+#define CW_HTTP_SERVER_H
+
+#include "cw_request.h"
+
+#include <h2o.h>
+#include <h2o/http1.h>
+
+struct cw_http_conn;
+
+struct cw_http_server {
+    uv_loop_t *loop;
+    h2o_globalconf_t conf;
+    h2o_context_t ctx;
+    h2o_accept_ctx_t accept;
+    uv_tcp_t *listener;
+    struct cw_http_conn *conns;
+    size_t conn_count;
+    int (*on_req)(void *arg, h2o_req_t *req);
+    void *arg;
+    bool ready;
+};
+
+/* Listens on an address. on_req answers every request that h2o accepts.
+ * Answers that h2o makes itself get the daemon's JSON form and outcome. */
+enum cw_status cw_http_server_init(struct cw_http_server *s, uv_loop_t *loop,
+                                   struct cw_str address,
+                                   int (*on_req)(void *arg, h2o_req_t *req),
+                                   void *arg, char *msg);
+/* Accepts no further connection; open ones end after their next answer. */
+void cw_http_server_stop(struct cw_http_server *s);
+/* Shuts all connections down and runs the loop until they are gone. */
+void cw_http_server_finish(struct cw_http_server *s);
+
+#endif
--- /dev/null
+++ b/packages/daemon/cw_runners.h
@@ -0,0 +1,77 @@
+/* This daemon's view of the runners, the endpoints at the VMs' addresses. */
+#ifndef CW_RUNNERS_H
+#define CW_RUNNERS_H
+
+#include "cw_daemon.h"
+
+#include <h2o.h>
+
+/* The runner of a VM under one incarnation and pool. */
+struct cw_runner {
+    struct cw_endpoint ep; /* what routing knows; ep.ctx is the runner */
+    struct cw_name vm;
+    struct cw_name pool;
+    struct cw_name dc;
+    struct cw_name rack;
+    struct cw_name address;
+    struct cw_name op; /* open operation seen last, empty for none */
+
+    bool probed;     /* ready was set by a probe, here or at a peer */
+    cw_ms probed_at; /* last probe sent from here */
+    bool probing;
+    unsigned probe_fails;
+    cw_ms health_at; /* of the last change of ep.ready */
+
+    struct cw_service *home; /* service it was routed for last, or NULL */
+    bool routed;             /* is in home's route */
+
+    h2o_socketpool_t sockets;
+    bool retired; /* replaced or removed; freed when idle */
+    cw_ms retired_at;
+    struct cw_runner *next_retired;
+};
+
+struct cw_vm_view;
+
+struct cw_runners {
+    struct cw_daemon *d;
+    size_t count;
+    struct cw_runner **items; /* sorted by VM */
+    struct cw_runner *retired;
+    struct cw_leaving leaving;
+
+    struct cw_vm_view *views; /* the VM list */
+    size_t view_count;
+    size_t view_cap;
+    uint64_t list_version;
+    bool list_pending;
+    cw_ms list_at;
+};
+
+enum cw_status cw_runners_init(struct cw_daemon *d);
+void cw_runners_finish(struct cw_daemon *d);
+void cw_runners_tick(struct cw_daemon *d, cw_ms now);
+/* Rebuilds the view after records were applied. */
+void cw_runners_refresh(struct cw_daemon *d, cw_ms now);
+struct cw_runner *cw_runners_find(const struct cw_daemon *d, struct cw_str vm);
+/* A signal that the runner of a VM's incarnation leaves. */
+void cw_runners_leaving(struct cw_daemon *d, struct cw_str vm,
+                        uint64_t incarnation, enum cw_leaving_source source);
+/* Result of a readiness probe, here or at a peer. */
+void cw_runner_set_ready(struct cw_daemon *d, struct cw_runner *e, bool ready,
+                         cw_ms now);
+
+/* ---- vm_list.c -------------------------------------------------------- */
+
+void cw_vm_list_tick(struct cw_daemon *d, cw_ms now);
+
+/* ---- probes.c --------------------------------------------------------- */
+
+enum cw_status cw_probes_init(struct cw_daemon *d);
+void cw_probes_finish(struct cw_daemon *d);
+void cw_probes_tick(struct cw_daemon *d, cw_ms now);
+/* The member that probes a runner, by rendezvous hashing. */
+const struct cw_member_entry *cw_probes_owner(const struct cw_daemon *d,
+                                              const struct cw_runner *e);
+
+#endif
--- /dev/null
+++ b/packages/daemon/keys.c
@@ -0,0 +1,435 @@
+/* Idempotency keys: an intent in the log before a keyed request is sent, and
+ * its end afterwards. */
+#include "cw_keys.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A lost response is resolved by a read that began this long after. */
+#define APPEND_DEADLINE_MS (5 * CW_SECOND)
+#define PARK_MS 1000
+#define BATCH_MAX 256
+
+static struct cw_key_stream *
+stream_of(struct cw_daemon *d, uint64_t hash)
+{
+    return &d->keys->streams[hash % d->keys->count];
+}
+
+struct cw_key_entry *
+cw_key_first(struct cw_key_stream *s)
+{
+    return CW_FIRST(&s->entries, struct cw_key_entry, link);
+}
+
+struct cw_key_entry *
+cw_key_next(struct cw_key_stream *s, struct cw_key_entry *e)
+{
+    return CW_NEXT(&s->entries, e, struct cw_key_entry, link);
+}
+
+static void
+entry_free(struct cw_key_entry *e)
+{
+    struct cw_key_stream *s = e->stream;
+
+    cw_list_remove(&s->entries, &e->link);
+    s->intents -= e->rec.kind == CW_IDEM_INTENT;
+    free(e);
+}
+
+static struct cw_key_entry *
+entry_new(struct cw_daemon *d, enum cw_idem_kind kind, uint64_t hash,
+          const char *request_id)
+{
+    static const char letters[] = "idr";
+    struct cw_key_stream *s = stream_of(d, hash);
+    struct cw_key_entry *e = calloc(1, sizeof(*e));
+    char id[CW_NAME_MAX + 16];
+
+    if (e == NULL) {
+        return NULL;
+    }
+    (void)snprintf(id, sizeof(id), "%c%s", letters[kind], request_id);
+    if (cw_name_set(&e->rec.id, cw_str_from(id)) != CW_OK ||
+        cw_name_set(&e->rec.request, cw_str_from(request_id)) != CW_OK) {
+        free(e);
+        return NULL;
+    }
+    e->stream = s;
+    e->rec.kind = kind;
+    e->rec.by = d->settings->daemon;
+    e->rec.time = cw_daemon_wall(d);
+    e->rec.hash = hash;
+    cw_list_add(&s->entries, &e->link);
+    s->intents += kind == CW_IDEM_INTENT;
+    return e;
+}
+
+static void
+key_cancel(struct cw_request *r)
+{
+    struct cw_key_entry *e = r->exec_ctx;
+
+    e->r = NULL;
+    if (!e->sent && cw_batch_cancel(&e->stream->batch, &e->item)) {
+        entry_free(e);
+    }
+    /* Otherwise the entry stays until its record was read, to release it. */
+}
+
+static const struct cw_exec_ops key_ops = {key_cancel, NULL};
+
+/* Takes the request out of its entry. */
+static struct cw_request *
+entry_take(struct cw_key_entry *e)
+{
+    struct cw_request *r = e->r;
+
+    e->r = NULL;
+    if (r != NULL) {
+        cw_request_detach(r);
+    }
+    return r;
+}
+
+/* The log is away: the document says what happens. */
+static void
+outage(struct cw_request *r)
+{
+    const struct cw_doc_entry *doc =
+        cw_state_doc(&r->d->state, cw_name_str(&r->service));
+
+    if (doc != NULL && doc->doc.outage == CW_OUTAGE_RUN) {
+        r->no_guarantee = true;
+        cw_dispatch_keyed(r);
+        return;
+    }
+    cw_request_shed(r, "log_unavailable",
+                    "the key cannot be checked while the log is unavailable");
+}
+
+void
+cw_keys_check(struct cw_request *r)
+{
+    struct cw_daemon *d = r->d;
+    struct cw_key_entry *e;
+
+    if (!cw_daemon_log_available(d, cw_daemon_now(d))) {
+        outage(r);
+        return;
+    }
+    e = entry_new(d, CW_IDEM_INTENT,
+                  cw_idem_hash(cw_name_str(&r->service), r->key), r->id);
+    if (e == NULL) {
+        cw_request_shed(r, "key_limit", "no memory for the key");
+        return;
+    }
+    if (cw_batch_add(&e->stream->batch, &e->item, false) != CW_OK) {
+        entry_free(e);
+        cw_request_shed(r, "key_limit",
+                        "too many keyed requests wait for the log");
+        return;
+    }
+    e->r = r;
+    r->exec = &key_ops;
+    r->exec_ctx = e;
+}
+
+void
+cw_keys_resolved(struct cw_key_entry *e, enum cw_idem_verdict v,
+                 uint16_t status)
+{
+    struct cw_daemon *d = e->stream->d;
+    struct cw_request *r = entry_take(e);
+    uint64_t hash = e->rec.hash;
+    struct cw_name request = e->rec.request;
+    char text[96];
+
+    if (e->answered) {
+        entry_free(e);
+    }
+    else {
+        /* Its append has not been answered; nobody waits for it. */
+        e->stream->intents--;
+        e->rec.kind = CW_IDEM_DONE;
+    }
+    if (r == NULL) {
+        if (v == CW_IDEM_FIRST) {
+            cw_keys_release_hash(d, hash, request.text);
+        }
+        return;
+    }
+    switch (v) {
+    case CW_IDEM_FIRST:
+        r->key_intent = true;
+        cw_dispatch_keyed(r);
+        break;
+    case CW_IDEM_IN_USE:
+        cw_request_fail(r, 409, CW_OUTCOME_UNKNOWN, "key_in_use",
+                        "another request with this key has not ended");
+        break;
+    case CW_IDEM_RUN:
+        (void)snprintf(text, sizeof(text),
+                       "a request with this key ran with status %u", status);
+        cw_request_fail(r, 409, CW_OUTCOME_RUN, "key_already_run", text);
+        break;
+    case CW_IDEM_NOT_KNOWN:
+        cw_keys_release_hash(d, hash, request.text);
+        cw_request_shed(r, "key_unknown",
+                        "earlier uses of keys are not known yet");
+        break;
+    }
+}
+
+/* The record is not in the log. */
+static void
+entry_absent(struct cw_key_entry *e)
+{
+    struct cw_request *r = entry_take(e);
+
+    entry_free(e);
+    if (r != NULL) {
+        outage(r);
+    }
+}
+
+void
+cw_keys_read_end(struct cw_key_stream *s, cw_ms began)
+{
+    struct cw_key_entry *e = cw_key_first(s);
+
+    while (e != NULL) {
+        struct cw_key_entry *next = cw_key_next(s, e);
+
+        if (e->rec.kind == CW_IDEM_INTENT && e->answered &&
+            began >= e->sent_at + APPEND_DEADLINE_MS) {
+            entry_absent(e);
+            next = cw_key_first(s);
+        }
+        e = next;
+    }
+}
+
+/* The entries of one append. */
+struct append {
+    struct cw_key_stream *stream;
+    uint32_t count;
+    struct cw_key_entry *entries[BATCH_MAX];
+};
+
+static void
+entry_answered(struct cw_key_entry *e, enum cw_status s)
+{
+    e->answered = true;
+    if (e->rec.kind == CW_IDEM_INTENT) {
+        if (s == CW_ERR_UNAVAILABLE || s == CW_ERR_INVALID) {
+            entry_absent(e);
+        }
+        return;
+    }
+    if (s == CW_ERR_UNAVAILABLE && cw_daemon_wall(e->stream->d) - e->rec.time <
+                                       e->stream->idem.params.window_ms) {
+        /* The end of a run is worth another try. */
+        e->park_until = cw_daemon_now(e->stream->d) + PARK_MS;
+        return;
+    }
+    entry_free(e);
+}
+
+static void
+on_appended(void *arg, enum cw_status s, uint64_t first)
+{
+    struct append *a = arg;
+
+    (void)first;
+    cw_batch_answered(&a->stream->batch);
+    for (uint32_t i = 0; i < a->count; i++) {
+        entry_answered(a->entries[i], s);
+    }
+    free(a);
+}
+
+static void
+send_batch(struct cw_key_stream *s, cw_ms now)
+{
+    struct cw_daemon *d = s->d;
+    struct cw_batch_item *items[BATCH_MAX];
+    struct append *a;
+    struct cw_buf b;
+    uint32_t n;
+
+    if (cw_batch_wait(&s->batch, now) != 0) {
+        return;
+    }
+    a = calloc(1, sizeof(*a));
+    if (a == NULL) {
+        return;
+    }
+    n = cw_batch_take(&s->batch, now, items, BATCH_MAX);
+    if (n == 0) {
+        free(a);
+        return;
+    }
+    a->stream = s;
+    a->count = n;
+    cw_buf_init(&b);
+    cw_buf_add(&b, "[", 1);
+    for (uint32_t i = 0; i < n; i++) {
+        struct cw_key_entry *e = (struct cw_key_entry *)items[i];
+
+        a->entries[i] = e;
+        e->sent = true;
+        e->answered = false;
+        e->sent_at = now;
+        if (i > 0) {
+            cw_buf_add(&b, ",", 1);
+        }
+        cw_idem_record_print(&e->rec, &b);
+    }
+    cw_buf_add(&b, "]", 1);
+    if (b.failed) {
+        on_appended(a, CW_ERR_UNAVAILABLE, 0);
+    }
+    else {
+        d->log.append(d->log.ctx, s->name, cw_buf_str(&b), on_appended, a);
+    }
+    cw_buf_finish(&b);
+}
+
+/* Ends waits whose deadline passed, and writes parked records again. */
+static void
+check_entries(struct cw_key_stream *s, cw_ms now)
+{
+    struct cw_key_entry *e = cw_key_first(s);
+
+    while (e != NULL) {
+        struct cw_key_entry *next = cw_key_next(s, e);
+
+        if (e->park_until != 0 && now >= e->park_until) {
+            e->park_until = 0;
+            (void)cw_batch_add(&s->batch, &e->item, true);
+        }
+        else if (e->r != NULL && now >= e->r->deadline) {
+            struct cw_request *r = e->r;
+
+            /* May free e; the record is released when it is read. */
+            key_cancel(r);
+            cw_request_detach(r);
+            cw_request_shed(r, "deadline",
+                            "the deadline passed before the key was checked");
+            next = cw_key_first(s);
+        }
+        e = next;
+    }
+}
+
+void
+cw_keys_tick(struct cw_daemon *d, cw_ms now)
+{
+    for (uint32_t i = 0; i < d->keys->count; i++) {
+        struct cw_key_stream *s = &d->keys->streams[i];
+
+        check_entries(s, now);
+        send_batch(s, now);
+        cw_keys_read(s, now);
+    }
+}
+
+static void
+write_end(struct cw_daemon *d, enum cw_idem_kind kind, uint64_t hash,
+          const char *request_id, unsigned status)
+{
+    struct cw_key_entry *e = entry_new(d, kind, hash, request_id);
+
+    if (e == NULL) {
+        cw_log(CW_ERROR, "out_of_memory", "part=keys request=%s", request_id);
+        return;
+    }
+    e->rec.status = (uint16_t)status;
+    (void)cw_batch_add(&e->stream->batch, &e->item, true);
+}
+
+void
+cw_keys_done(struct cw_daemon *d, struct cw_str service, struct cw_str key,
+             const char *request_id, unsigned status)
+{
+    if (d->keys != NULL) {
+        write_end(d, CW_IDEM_DONE, cw_idem_hash(service, key), request_id,
+                  status);
+    }
+}
+
+void
+cw_keys_release_hash(struct cw_daemon *d, uint64_t hash,
+                     const char *request_id)
+{
+    write_end(d, CW_IDEM_RELEASED, hash, request_id, 0);
+}
+
+void
+cw_keys_released(struct cw_daemon *d, struct cw_str service, struct cw_str key,
+                 const char *request_id)
+{
+    if (d->keys != NULL) {
+        cw_keys_release_hash(d, cw_idem_hash(service, key), request_id);
+    }
+}
+
+bool
+cw_keys_idle(const struct cw_daemon *d)
+{
+    for (uint32_t i = 0; i < d->keys->count; i++) {
+        if (d->keys->streams[i].entries.count > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+enum cw_status
+cw_keys_init(struct cw_daemon *d)
+{
+    struct cw_keys *k = calloc(1, sizeof(*k));
+    struct cw_idem_params params = cw_idem_defaults();
+
+    if (k == NULL) {
+        return CW_ERR_NOMEM;
+    }
+    params.window_ms = d->settings->key_window_ms;
+    k->count = d->settings->key_streams;
+    for (uint32_t i = 0; i < k->count; i++) {
+        struct cw_key_stream *s = &k->streams[i];
+
+        s->d = d;
+        cw_list_init(&s->entries);
+        (void)snprintf(s->name, sizeof(s->name), "keys-%u", (unsigned)i);
+        cw_batch_init(&s->batch, cw_batch_defaults());
+        cw_idem_init(&s->idem, params);
+    }
+    d->keys = k;
+    return CW_OK;
+}
+
+void
+cw_keys_finish(struct cw_daemon *d)
+{
+    struct cw_keys *k = d->keys;
+
+    if (k == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < k->count; i++) {
+        struct cw_key_stream *s = &k->streams[i];
+
+        while (s->entries.count > 0) {
+            struct cw_key_entry *e = cw_key_first(s);
+
+            (void)entry_take(e);
+            entry_free(e);
+        }
+        cw_idem_finish(&k->streams[i].idem);
+    }
+    free(k);
+    d->keys = NULL;
+}
--- /dev/null
+++ b/packages/daemon/peers_query.c
@@ -0,0 +1,205 @@
+/* What the peers' heartbeats said: queries. */
+#include "cw_peers.h"
+
+#include <string.h>
+
+/* A peer's announced free slots count for this many heartbeat intervals. */
+#define FRESH_BEATS 2
+
+static const struct cw_peer *
+find(const struct cw_daemon *d, struct cw_str daemon)
+{
+    for (size_t i = 0; i < d->peers->count; i++) {
+        if (cw_str_eq(cw_name_str(&d->peers->items[i]->daemon), daemon)) {
+            return d->peers->items[i];
+        }
+    }
+    return NULL;
+}
+
+/* The member that a peer is, under its present incarnation. */
+static const struct cw_member_entry *
+member(const struct cw_daemon *d, const struct cw_peer *p)
+{
+    const struct cw_member_entry *m =
+        cw_state_member(&d->state, cw_name_str(&p->daemon));
+
+    return m != NULL && m->incarnation == p->incarnation ? m : NULL;
+}
+
+static struct cw_load *
+load_of(const struct cw_peer *p, struct cw_str service)
+{
+    for (size_t i = 0; i < p->load_count; i++) {
+        if (cw_str_eq(cw_name_str(&p->loads[i].service), service)) {
+            return &p->loads[i];
+        }
+    }
+    return NULL;
+}
+
+struct cw_peer *
+cw_peers_pick(struct cw_daemon *d, struct cw_str service, cw_ms now)
+{
+    struct cw_peer *best = NULL;
+    uint32_t most = 0;
+
+    for (size_t i = 0; i < d->peers->count; i++) {
+        struct cw_peer *p = d->peers->items[i];
+        const struct cw_load *l = load_of(p, service);
+
+        if (!p->ready || p->stopping || l == NULL || l->free_slots <= most ||
+            now - p->heard > FRESH_BEATS * d->settings->heartbeat_ms ||
+            member(d, p) == NULL) {
+            continue;
+        }
+        best = p;
+        most = l->free_slots;
+    }
+    return best;
+}
+
+void
+cw_peer_take_slot(struct cw_peer *p, struct cw_str service)
+{
+    struct cw_load *l = load_of(p, service);
+
+    if (l != NULL && l->free_slots > 0) {
+        l->free_slots--;
+    }
+}
+
+size_t
+cw_peers_confirming(const struct cw_daemon *d, cw_ms since, size_t *same_dc)
+{
+    size_t n = 0;
+
+    *same_dc = 0;
+    for (size_t i = 0; i < d->peers->count; i++) {
+        const struct cw_peer *p = d->peers->items[i];
+        const struct cw_member_entry *m;
+
+        if (p->confirm == 0 || p->confirm < since) {
+            continue;
+        }
+        m = member(d, p);
+        if (m == NULL) {
+            continue;
+        }
+        n++;
+        if (cw_name_eq(&m->dc, &d->settings->dc)) {
+            (*same_dc)++;
+        }
+    }
+    return n;
+}
+
+cw_ms
+cw_peers_age(const struct cw_daemon *d, struct cw_str daemon, cw_ms now)
+{
+    const struct cw_peer *p = find(d, daemon);
+
+    return p != NULL && p->heard != 0 ? now - p->heard : -1;
+}
+
+uint64_t
+cw_peers_applied(const struct cw_daemon *d, struct cw_str daemon)
+{
+    const struct cw_peer *p = find(d, daemon);
+
+    return p != NULL && p->heard != 0 ? p->applied : 0;
+}
+
+bool
+cw_daemon_peer_drained(const struct cw_daemon *d, struct cw_str daemon,
+                       struct cw_str vm, struct cw_str op)
+{
+    const struct cw_peer *p = find(d, daemon);
+
+    if (p == NULL || p->heard == 0 || member(d, p) == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < p->drained_count; i++) {
+        if (cw_str_eq(cw_name_str(&p->drained[i].vm), vm) &&
+            cw_str_eq(cw_name_str(&p->drained[i].op), op)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+cw_daemon_members_drained(const struct cw_daemon *d, struct cw_str vm,
+                          struct cw_str op)
+{
+    uint32_t n = 0;
+
+    for (size_t i = 0; i < d->state.member_count; i++) {
+        const struct cw_member_entry *m = &d->state.members[i];
+
+        if (cw_name_eq(&m->daemon, &d->settings->daemon)) {
+            n += cw_daemon_drain_applied(d, vm, op);
+        }
+        else {
+            n += cw_daemon_peer_drained(d, cw_name_str(&m->daemon), vm, op);
+        }
+    }
+    return n;
+}
+
+bool
+cw_daemon_all_drained(const struct cw_daemon *d, struct cw_str vm,
+                      struct cw_str op)
+{
+    return d->state.member_count > 0 &&
+           cw_daemon_members_drained(d, vm, op) == d->state.member_count;
+}
+
+struct cw_demand
+cw_daemon_demand(const struct cw_daemon *d, struct cw_str service)
+{
+    struct cw_demand sum = {0, 0, 0};
+    cw_ms now = cw_daemon_now(d);
+
+    for (size_t i = 0; i < cw_dispatch_services(d); i++) {
+        struct cw_load own;
+
+        cw_dispatch_load(d, i, now, &own);
+        if (cw_str_eq(cw_name_str(&own.service), service)) {
+            sum.busy += own.busy;
+            sum.waiting += own.waiting;
+            sum.free_slots += own.free_slots;
+        }
+    }
+    for (size_t i = 0; i < d->peers->count; i++) {
+        const struct cw_peer *p = d->peers->items[i];
+        const struct cw_load *l = load_of(p, service);
+
+        if (l != NULL && now - p->heard <= d->settings->silent_ms &&
+            member(d, p) != NULL) {
+            sum.busy += l->busy;
+            sum.waiting += l->waiting;
+            sum.free_slots += l->free_slots;
+        }
+    }
+    return sum;
+}
+
+void
+cw_peers_metrics(struct cw_daemon *d)
+{
+    double *in = cw_metrics_gauge(&d->metrics, "cuminwalk_peer_bytes_in", "");
+    double *out =
+        cw_metrics_gauge(&d->metrics, "cuminwalk_peer_bytes_out", "");
+    double *open = cw_metrics_gauge(&d->metrics, "cuminwalk_peers_open", "");
+    size_t n = 0;
+
+    for (size_t i = 0; i < d->peers->count; i++) {
+        n += d->peers->items[i]->ready;
+    }
+    if (in != NULL && out != NULL && open != NULL) {
+        *in = (double)d->peers->net.bytes_in;
+        *out = (double)d->peers->net.bytes_out;
+        *open = (double)n;
+    }
+}
--- /dev/null
+++ b/packages/daemon/probes.c
@@ -0,0 +1,229 @@
+/* Readiness probes. Each endpoint is probed by one member, and the others get
+ * the result by heartbeat. */
+#include "cw_list.h"
+#include "cw_modules.h"
+#include "cw_runners.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PROBE_TIMEOUT_MS 1000
+/* Request and answer of one probe; the interval grows with the number of
+ * endpoints so that all probes stay under 1 KB/s. */
+#define PROBE_BYTES 200
+#define PROBE_BYTES_PER_S 1000
+/* Failed connects and timeouts in a row until an endpoint is not ready; one
+ * alone may be a lost packet or a full accept queue. */
+#define PROBE_FAILS 2
+
+struct probe {
+    struct cw_daemon *d;
+    struct cw_runner *e;
+    struct cw_link link;
+    h2o_http1client_t *client;
+    struct cw_buf head;
+    h2o_iovec_t buf;
+    cw_ms began;
+};
+
+struct cw_probes {
+    h2o_http1client_ctx_t ctx;
+    h2o_timeout_t io_timeout;
+    struct cw_list all;
+};
+
+static void
+probe_free(struct probe *p)
+{
+    cw_list_remove(&p->d->probes->all, &p->link);
+    if (p->client != NULL) {
+        h2o_http1client_cancel(p->client);
+    }
+    p->e->probing = false;
+    cw_buf_finish(&p->head);
+    free(p);
+}
+
+/* status 0: no answer. */
+static void
+probe_end(struct probe *p, int status)
+{
+    struct cw_daemon *d = p->d;
+    struct cw_runner *e = p->e;
+    cw_ms now = cw_daemon_now(d);
+
+    probe_free(p);
+    if (e->retired) {
+        return;
+    }
+    if (status == 200) {
+        e->probe_fails = 0;
+        cw_runner_set_ready(d, e, true, now);
+        return;
+    }
+    e->probe_fails++;
+    if (status != 0 || e->probe_fails >= PROBE_FAILS) {
+        cw_runners_leaving(d, cw_name_str(&e->vm), e->ep.incarnation,
+                           CW_LEAVING_PROBE);
+        cw_runner_set_ready(d, e, false, now);
+    }
+}
+
+static int
+on_body(h2o_http1client_t *client, const char *err)
+{
+    h2o_buffer_consume(&client->sock->input, client->sock->input->size);
+    /* The probe's result is known; h2o reads the rest for keep-alive. */
+    (void)err;
+    return 0;
+}
+
+static h2o_http1client_body_cb
+on_head(h2o_http1client_t *client, const char *err, int minor, int status,
+        h2o_iovec_t msg, h2o_header_t *headers, size_t count, int rlen)
+{
+    struct probe *p = client->data;
+    bool eos = err == h2o_http1client_error_is_eos;
+
+    (void)minor;
+    (void)msg;
+    (void)headers;
+    (void)count;
+    (void)rlen;
+    p->client = NULL;
+    probe_end(p, err == NULL || eos ? status : 0);
+    return err == NULL ? on_body : NULL;
+}
+
+static h2o_http1client_head_cb
+on_connect(h2o_http1client_t *client, const char *err, h2o_iovec_t **bufs,
+           size_t *count, int *method_is_head)
+{
+    struct probe *p = client->data;
+
+    if (err == NULL) {
+        cw_buf_addf(&p->head, "GET /ready HTTP/1.1\r\nhost: %s\r\n\r\n",
+                    p->e->address.text);
+    }
+    if (err != NULL || p->head.failed) {
+        p->client = NULL;
+        probe_end(p, 0);
+        return NULL;
+    }
+    p->buf = h2o_iovec_init(p->head.ptr, p->head.len);
+    *bufs = &p->buf;
+    *count = 1;
+    *method_is_head = 0;
+    return on_head;
+}
+
+static void
+probe_start(struct cw_daemon *d, struct cw_runner *e, cw_ms now)
+{
+    struct probe *p = calloc(1, sizeof(*p));
+
+    if (p == NULL) {
+        return;
+    }
+    p->d = d;
+    p->e = e;
+    p->began = now;
+    cw_buf_init(&p->head);
+    cw_list_add(&d->probes->all, &p->link);
+    e->probing = true;
+    e->probed_at = now;
+    h2o_http1client_connect_with_pool(&p->client, p, &d->probes->ctx,
+                                      &e->sockets, on_connect);
+}
+
+const struct cw_member_entry *
+cw_probes_owner(const struct cw_daemon *d, const struct cw_runner *e)
+{
+    const struct cw_member_entry *best = NULL;
+    uint64_t best_score = 0;
+    bool best_near = false;
+    uint64_t vm = cw_hash(cw_name_str(&e->vm), 0);
+
+    for (size_t i = 0; i < d->state.member_count; i++) {
+        const struct cw_member_entry *m = &d->state.members[i];
+        bool near = cw_name_eq(&m->dc, &e->dc);
+        uint64_t score = cw_hash_mix(vm, cw_hash(cw_name_str(&m->daemon), 1));
+
+        if (best == NULL || (near && !best_near) ||
+            (near == best_near && score > best_score)) {
+            best = m;
+            best_score = score;
+            best_near = near;
+        }
+    }
+    return best;
+}
+
+void
+cw_probes_tick(struct cw_daemon *d, cw_ms now)
+{
+    struct cw_runners *all = d->runners;
+    struct cw_list *running = &d->probes->all;
+    struct probe *next;
+    cw_ms every = d->settings->probe_ms;
+    size_t owned = 0;
+
+    for (struct probe *p = CW_FIRST(running, struct probe, link); p != NULL;
+         p = next) {
+        next = CW_NEXT(running, p, struct probe, link);
+        if (now - p->began > PROBE_TIMEOUT_MS) {
+            probe_end(p, 0);
+        }
+    }
+    for (size_t i = 0; i < all->count; i++) {
+        const struct cw_member_entry *m = cw_probes_owner(d, all->items[i]);
+
+        owned += m != NULL && cw_name_eq(&m->daemon, &d->settings->daemon);
+    }
+    if ((cw_ms)owned * PROBE_BYTES * CW_SECOND / PROBE_BYTES_PER_S > every) {
+        every = (cw_ms)owned * PROBE_BYTES * CW_SECOND / PROBE_BYTES_PER_S;
+    }
+    for (size_t i = 0; i < all->count; i++) {
+        struct cw_runner *e = all->items[i];
+        const struct cw_member_entry *m = cw_probes_owner(d, e);
+
+        if (m == NULL || !cw_name_eq(&m->daemon, &d->settings->daemon) ||
+            e->probing || (e->probed_at != 0 && now - e->probed_at < every)) {
+            continue;
+        }
+        probe_start(d, e, now);
+    }
+}
+
+enum cw_status
+cw_probes_init(struct cw_daemon *d)
+{
+    struct cw_probes *p = calloc(1, sizeof(*p));
+
+    if (p == NULL) {
+        return CW_ERR_NOMEM;
+    }
+    h2o_timeout_init(d->loop, &p->io_timeout, (uint64_t)2 * PROBE_TIMEOUT_MS);
+    cw_list_init(&p->all);
+    p->ctx.loop = d->loop;
+    p->ctx.io_timeout = &p->io_timeout;
+    d->probes = p;
+    return CW_OK;
+}
+
+void
+cw_probes_finish(struct cw_daemon *d)
+{
+    if (d->probes == NULL) {
+        return;
+    }
+    while (d->probes->all.count > 0) {
+        probe_free(CW_FIRST(&d->probes->all, struct probe, link));
+    }
+    h2o_timeout_dispose(d->loop, &d->probes->io_timeout);
+    for (int i = 0; i < 10; i++) {
+        uv_run(d->loop, UV_RUN_NOWAIT);
+    }
+    free(d->probes);
+    d->probes = NULL;
+}
--- /dev/null
+++ b/packages/daemon/upstream.c
@@ -0,0 +1,402 @@
+/* Connections to endpoints: sends one request and streams its answer. */
+#include "cw_list.h"
+#include "cw_modules.h"
+#include "cw_request.h"
+#include "cw_runners.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECT_MS 1000
+/* An endpoint that sends nothing of a body for this long is given up. */
+#define BODY_IDLE_MS (30 * CW_SECOND)
+/* h2o's own timer runs during pauses for backpressure too, so it is set beyond
+ * every limit that is kept here. */
+#define H2O_IO_MS (CW_HOUR)
+
+enum phase { PHASE_CONNECT, PHASE_HEAD, PHASE_BODY };
+
+struct upstream {
+    struct cw_daemon *d;
+    struct cw_request *r;
+    struct cw_runner *e;
+    uint32_t slot;
+    struct cw_link link;
+    h2o_http1client_t *client;
+    struct cw_buf head;
+    h2o_iovec_t bufs[2];
+    enum phase phase;
+    cw_ms began;
+    cw_ms progress; /* last time the body moved */
+    cw_ms took;     /* until the head */
+    bool paused;
+    bool in_body; /* h2o is inside our body callback */
+    bool gone;    /* the caller went away inside that callback */
+    h2o_socket_cb read_cb;
+};
+
+struct cw_upstream_ctx {
+    h2o_http1client_ctx_t ctx;
+    h2o_timeout_t io_timeout;
+    struct cw_list all;
+};
+
+static void
+upstream_free(struct upstream *u)
+{
+    cw_list_remove(&u->d->upstream->all, &u->link);
+    if (u->client != NULL) {
+        h2o_http1client_cancel(u->client);
+    }
+    cw_buf_finish(&u->head);
+    free(u);
+}
+
+/* Ends the try. u is gone afterwards; r may be. */
+static void
+upstream_end(struct upstream *u, enum cw_try t)
+{
+    struct cw_daemon *d = u->d;
+    struct cw_request *r = u->r;
+    struct cw_runner *e = u->e;
+    uint32_t slot = u->slot;
+    cw_ms took =
+        u->phase == PHASE_BODY ? u->took : cw_daemon_now(d) - u->began;
+
+    if (r != NULL) {
+        cw_request_detach(r);
+    }
+    upstream_free(u);
+    cw_dispatch_tried(d, r, e, slot, t, took);
+    if (r != NULL && (t == CW_TRY_DONE || t == CW_TRY_CUT)) {
+        cw_request_end(r, t == CW_TRY_DONE);
+    }
+}
+
+static void
+upstream_cancel(struct cw_request *r)
+{
+    struct upstream *u = r->exec_ctx;
+
+    u->r = NULL;
+    if (u->in_body) {
+        u->gone = true;
+        return;
+    }
+    upstream_end(u, CW_TRY_GONE);
+}
+
+static void
+upstream_resume(struct cw_request *r)
+{
+    struct upstream *u = r->exec_ctx;
+
+    if (u->paused && u->client != NULL) {
+        u->paused = false;
+        u->progress = cw_daemon_now(u->d);
+        h2o_socket_read_start(u->client->sock, u->read_cb);
+    }
+}
+
+static const struct cw_exec_ops upstream_ops = {upstream_cancel,
+                                                upstream_resume};
+
+static int
+on_body(h2o_http1client_t *client, const char *err)
+{
+    struct upstream *u = client->data;
+    h2o_buffer_t **in = &client->sock->input;
+
+    u->progress = cw_daemon_now(u->d);
+    if ((*in)->size > 0) {
+        u->in_body = true;
+        cw_request_body(u->r, (*in)->bytes, (*in)->size);
+        u->in_body = false;
+        h2o_buffer_consume(in, (*in)->size);
+        if (u->gone) {
+            u->client = NULL;
+            upstream_end(u, CW_TRY_GONE);
+            return -1;
+        }
+    }
+    if (err != NULL) {
+        u->client = NULL;
+        upstream_end(u, err == h2o_http1client_error_is_eos ? CW_TRY_DONE
+                                                            : CW_TRY_CUT);
+        return -1;
+    }
+    if (cw_request_held(u->r) >= CW_HELD_PAUSE) {
+        u->paused = true;
+        u->read_cb = client->sock->_cb.read;
+        h2o_socket_read_stop(client->sock);
+    }
+    return 0;
+}
+
+static struct cw_str
+iovec_str(h2o_iovec_t v)
+{
+    return (struct cw_str){v.base, v.len};
+}
+
+/* Copies the headers of an answer; NULL when memory is short. */
+static struct cw_header *
+copy_headers(const h2o_header_t *headers, size_t count)
+{
+    struct cw_header *out = calloc(count + 1, sizeof(*out));
+
+    for (size_t i = 0; out != NULL && i < count; i++) {
+        out[i].name = iovec_str(*headers[i].name);
+        out[i].value = iovec_str(headers[i].value);
+    }
+    return out;
+}
+
+/* Finds out where the body ends. False when only the end of the connection
+ * would tell, which looks the same as a cut. */
+static bool
+head_framing(const struct cw_header *headers, size_t count, bool no_body,
+             struct cw_head *head)
+{
+    const struct cw_header *h =
+        cw_headers_find(headers, count, CW_LIT("transfer-encoding"));
+
+    if (h != NULL) {
+        return cw_str_eq_nocase(h->value, CW_LIT("chunked"));
+    }
+    h = cw_headers_find(headers, count, CW_LIT("content-length"));
+    if (h != NULL) {
+        head->has_length = cw_str_to_u64(h->value, &head->length);
+        return head->has_length;
+    }
+    return no_body;
+}
+
+static enum cw_try
+refusal(unsigned status, const struct cw_header *headers, size_t count)
+{
+    const struct cw_header *h =
+        cw_headers_find(headers, count, CW_LIT("cuminwalk-refused"));
+
+    if (status != 503 || h == NULL) {
+        return CW_TRY_DONE;
+    }
+    return cw_str_eq_nocase(h->value, CW_LIT("draining")) ? CW_TRY_DRAINING
+                                                          : CW_TRY_REFUSED;
+}
+
+static size_t
+strip_answer(struct cw_header *headers, size_t count)
+{
+    size_t kept = 0;
+
+    count = cw_headers_strip(headers, count);
+    for (size_t i = 0; i < count; i++) {
+        /* The daemon's server writes its own Date. */
+        if (!cw_str_eq_nocase(headers[i].name, CW_LIT("date"))) {
+            headers[kept++] = headers[i];
+        }
+    }
+    return kept;
+}
+
+static h2o_http1client_body_cb
+on_head(h2o_http1client_t *client, const char *err, int minor, int status,
+        h2o_iovec_t msg, h2o_header_t *list, size_t count, int rlen)
+{
+    struct upstream *u = client->data;
+    bool eos = err == h2o_http1client_error_is_eos;
+    struct cw_head head = {0};
+    struct cw_header *headers;
+    enum cw_try refused;
+
+    (void)minor;
+    (void)msg;
+    (void)rlen;
+    if (err != NULL && !eos) {
+        u->client = NULL;
+        upstream_end(u, CW_TRY_UNKNOWN);
+        return NULL;
+    }
+    headers = copy_headers(list, count);
+    refused = headers != NULL ? refusal((unsigned)status, headers, count)
+                              : CW_TRY_DONE;
+    if (refused != CW_TRY_DONE) {
+        free(headers);
+        u->client = NULL;
+        upstream_end(u, refused);
+        return NULL;
+    }
+    if (headers == NULL || status < 200 ||
+        !head_framing(headers, count, eos, &head)) {
+        cw_log(CW_WARN, "endpoint_framing", "vm=%s status=%d", u->e->vm.text,
+               status);
+        free(headers);
+        u->client = NULL;
+        upstream_end(u, CW_TRY_UNKNOWN);
+        return NULL;
+    }
+    u->phase = PHASE_BODY;
+    u->took = cw_daemon_now(u->d) - u->began;
+    u->progress = cw_daemon_now(u->d);
+    head.status = (unsigned)status;
+    head.count = strip_answer(headers, count);
+    head.headers = headers;
+    cw_request_head(u->r, &head);
+    free(headers);
+    if (eos) {
+        u->client = NULL;
+        upstream_end(u, CW_TRY_DONE);
+        return NULL;
+    }
+    return on_body;
+}
+
+static void
+build_head(struct upstream *u)
+{
+    struct cw_request *r = u->r;
+    struct cw_buf *b = &u->head;
+    struct cw_str host =
+        r->authority.len > 0 ? r->authority : cw_name_str(&u->e->address);
+    cw_ms left = r->deadline - cw_daemon_now(u->d);
+
+    cw_buf_addf(b, "%.*s %.*s HTTP/1.1\r\nhost: %.*s\r\n", CW_FMT(r->method),
+                CW_FMT(r->path), CW_FMT(host));
+    for (size_t i = 0; i < r->header_count; i++) {
+        const struct cw_header *h = &r->headers[i];
+
+        if (cw_str_eq_nocase(h->name, CW_LIT("host")) ||
+            cw_str_eq_nocase(h->name, CW_LIT("cuminwalk-deadline-ms"))) {
+            continue;
+        }
+        cw_buf_add_str(b, h->name);
+        cw_buf_add(b, ": ", 2);
+        cw_buf_add_str(b, h->value);
+        cw_buf_add(b, "\r\n", 2);
+    }
+    if (r->body.len > 0 || cw_str_eq(r->method, CW_LIT("POST")) ||
+        cw_str_eq(r->method, CW_LIT("PUT")) ||
+        cw_str_eq(r->method, CW_LIT("PATCH"))) {
+        cw_buf_addf(b, "content-length: %zu\r\n", r->body.len);
+    }
+    cw_buf_addf(b,
+                "cuminwalk-request-id: %s\r\n"
+                "cuminwalk-deadline-ms: %lld\r\n\r\n",
+                r->id, (long long)(left > 0 ? left : 1));
+}
+
+static h2o_http1client_head_cb
+on_connect(h2o_http1client_t *client, const char *err, h2o_iovec_t **bufs,
+           size_t *count, int *method_is_head)
+{
+    struct upstream *u = client->data;
+    cw_ms now = cw_daemon_now(u->d);
+
+    if (err == NULL) {
+        build_head(u);
+    }
+    /* The last point at which nothing was written. */
+    if (err != NULL || u->head.failed || !cw_daemon_confirmed(u->d, now) ||
+        now >= u->r->deadline) {
+        u->client = NULL;
+        upstream_end(u, err != NULL ? CW_TRY_NOT_RUN : CW_TRY_HELD);
+        return NULL;
+    }
+    u->phase = PHASE_HEAD;
+    u->r->sent_at = now;
+    u->r->handed = true;
+    u->bufs[0] = h2o_iovec_init(u->head.ptr, u->head.len);
+    u->bufs[1] = h2o_iovec_init(u->r->body.ptr, u->r->body.len);
+    *bufs = u->bufs;
+    *count = u->r->body.len > 0 ? 2 : 1;
+    *method_is_head = cw_str_eq(u->r->method, CW_LIT("HEAD"));
+    return on_head;
+}
+
+void
+cw_upstream_send(struct cw_request *r, struct cw_runner *e, uint32_t slot)
+{
+    struct cw_daemon *d = r->d;
+    struct upstream *u = calloc(1, sizeof(*u));
+
+    if (u == NULL) {
+        cw_dispatch_tried(d, r, e, slot, CW_TRY_HELD, 0);
+        return;
+    }
+    u->d = d;
+    u->r = r;
+    u->e = e;
+    u->slot = slot;
+    u->began = cw_daemon_now(d);
+    cw_buf_init(&u->head);
+    cw_list_add(&d->upstream->all, &u->link);
+    r->exec = &upstream_ops;
+    r->exec_ctx = u;
+    /* May call on_connect at once, after which u can be gone. */
+    h2o_http1client_connect_with_pool(&u->client, u, &d->upstream->ctx,
+                                      &e->sockets, on_connect);
+}
+
+void
+cw_upstream_tick(struct cw_daemon *d, cw_ms now)
+{
+    struct cw_list *all = &d->upstream->all;
+    struct upstream *next;
+
+    for (struct upstream *u = CW_FIRST(all, struct upstream, link); u != NULL;
+         u = next) {
+        next = CW_NEXT(all, u, struct upstream, link);
+        if (u->phase == PHASE_CONNECT &&
+            (now - u->began > CONNECT_MS || now >= u->r->deadline)) {
+            upstream_end(u, now - u->began > CONNECT_MS ? CW_TRY_NOT_RUN
+                                                        : CW_TRY_HELD);
+        }
+        else if (u->phase == PHASE_HEAD && now >= u->r->deadline) {
+            upstream_end(u, CW_TRY_TIMEOUT);
+        }
+        else if (u->phase == PHASE_BODY && !u->paused &&
+                 now - u->progress > BODY_IDLE_MS) {
+            upstream_end(u, CW_TRY_CUT);
+        }
+        else {
+            continue;
+        }
+        /* Ending one may have started or ended others. */
+        next = CW_FIRST(all, struct upstream, link);
+    }
+}
+
+enum cw_status
+cw_upstream_init(struct cw_daemon *d)
+{
+    struct cw_upstream_ctx *c = calloc(1, sizeof(*c));
+
+    if (c == NULL) {
+        return CW_ERR_NOMEM;
+    }
+    h2o_timeout_init(d->loop, &c->io_timeout, H2O_IO_MS);
+    cw_list_init(&c->all);
+    c->ctx.loop = d->loop;
+    c->ctx.io_timeout = &c->io_timeout;
+    d->upstream = c;
+    return CW_OK;
+}
+
+void
+cw_upstream_finish(struct cw_daemon *d)
+{
+    if (d->upstream == NULL) {
+        return;
+    }
+    while (d->upstream->all.count > 0) {
+        upstream_free(CW_FIRST(&d->upstream->all, struct upstream, link));
+    }
+    h2o_timeout_dispose(d->loop, &d->upstream->io_timeout);
+    /* The loop has to forget the timer before its memory goes. */
+    for (int i = 0; i < 10; i++) {
+        uv_run(d->loop, UV_RUN_NOWAIT);
+    }
+    free(d->upstream);
+    d->upstream = NULL;
+}
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -277,49 +277,49 @@
   assert(message->base.descriptor == &cuminwalk__drained__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cuminwalk__slot_release__init
-                     (Cuminwalk__SlotRelease         *message)
+void   cuminwalk__slot_busy__init
+                     (Cuminwalk__SlotBusy         *message)
 {
-  static const Cuminwalk__SlotRelease init_value = CUMINWALK__SLOT_RELEASE__INIT;
+  static const Cuminwalk__SlotBusy init_value = CUMINWALK__SLOT_BUSY__INIT;
   *message = init_value;
 }
-size_t cuminwalk__slot_release__get_packed_size
-                     (const Cuminwalk__SlotRelease *message)
+size_t cuminwalk__slot_busy__get_packed_size
+                     (const Cuminwalk__SlotBusy *message)
 {
-  assert(message->base.descriptor == &cuminwalk__slot_release__descriptor);
+  assert(message->base.descriptor == &cuminwalk__slot_busy__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cuminwalk__slot_release__pack
-                     (const Cuminwalk__SlotRelease *message,
+size_t cuminwalk__slot_busy__pack
+                     (const Cuminwalk__SlotBusy *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cuminwalk__slot_release__descriptor);
+  assert(message->base.descriptor == &cuminwalk__slot_busy__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cuminwalk__slot_release__pack_to_buffer
-                     (const Cuminwalk__SlotRelease *message,
+size_t cuminwalk__slot_busy__pack_to_buffer
+                     (const Cuminwalk__SlotBusy *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cuminwalk__slot_release__descriptor);
+  assert(message->base.descriptor == &cuminwalk__slot_busy__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cuminwalk__SlotRelease *
-       cuminwalk__slot_release__unpack
+Cuminwalk__SlotBusy *
+       cuminwalk__slot_busy__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cuminwalk__SlotRelease *)
-     protobuf_c_message_unpack (&cuminwalk__slot_release__descriptor,
+  return (Cuminwalk__SlotBusy *)
+     protobuf_c_message_unpack (&cuminwalk__slot_busy__descriptor,
                                 allocator, len, data);
 }
-void   cuminwalk__slot_release__free_unpacked
-                     (Cuminwalk__SlotRelease *message,
+void   cuminwalk__slot_busy__free_unpacked
+                     (Cuminwalk__SlotBusy *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cuminwalk__slot_release__descriptor);
+  assert(message->base.descriptor == &cuminwalk__slot_busy__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   cuminwalk__peer_seen__init
@@ -958,7 +958,7 @@
   (ProtobufCMessageInit) cuminwalk__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__service_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cuminwalk__service_load__field_descriptors[6] =
 {
   {
     "service",
@@ -1008,17 +1008,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "busy",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__ServiceLoad, busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__ServiceLoad, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cuminwalk__service_load__field_indices_by_name[] = {
+  4,   /* field[4] = busy */
   1,   /* field[1] = free_slots */
   3,   /* field[3] = held_slots */
   2,   /* field[2] = queue_delay_ms */
   0,   /* field[0] = service */
+  5,   /* field[5] = waiting */
 };
 static const ProtobufCIntRange cuminwalk__service_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cuminwalk__service_load__descriptor =
 {
@@ -1028,7 +1054,7 @@
   "Cuminwalk__ServiceLoad",
   "cuminwalk",
   sizeof(Cuminwalk__ServiceLoad),
-  4,
+  6,
   cuminwalk__service_load__field_descriptors,
   cuminwalk__service_load__field_indices_by_name,
   1,  cuminwalk__service_load__number_ranges,
@@ -1201,68 +1227,55 @@
   (ProtobufCMessageInit) cuminwalk__drained__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__slot_release__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cuminwalk__slot_busy__field_descriptors[2] =
 {
   {
-    "vm",
+    "vm_hash",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cuminwalk__SlotRelease, vm),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cuminwalk__SlotRelease, incarnation),
+    offsetof(Cuminwalk__SlotBusy, vm_hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot",
-    3,
+    "mask",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cuminwalk__SlotRelease, slot),
+    offsetof(Cuminwalk__SlotBusy, mask),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cuminwalk__slot_release__field_indices_by_name[] = {
-  1,   /* field[1] = incarnation */
-  2,   /* field[2] = slot */
-  0,   /* field[0] = vm */
+static const unsigned cuminwalk__slot_busy__field_indices_by_name[] = {
+  1,   /* field[1] = mask */
+  0,   /* field[0] = vm_hash */
 };
-static const ProtobufCIntRange cuminwalk__slot_release__number_ranges[1 + 1] =
+static const ProtobufCIntRange cuminwalk__slot_busy__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cuminwalk__slot_release__descriptor =
+const ProtobufCMessageDescriptor cuminwalk__slot_busy__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cuminwalk.SlotRelease",
-  "SlotRelease",
-  "Cuminwalk__SlotRelease",
+  "cuminwalk.SlotBusy",
+  "SlotBusy",
+  "Cuminwalk__SlotBusy",
   "cuminwalk",
-  sizeof(Cuminwalk__SlotRelease),
-  3,
-  cuminwalk__slot_release__field_descriptors,
-  cuminwalk__slot_release__field_indices_by_name,
-  1,  cuminwalk__slot_release__number_ranges,
-  (ProtobufCMessageInit) cuminwalk__slot_release__init,
+  sizeof(Cuminwalk__SlotBusy),
+  2,
+  cuminwalk__slot_busy__field_descriptors,
+  cuminwalk__slot_busy__field_indices_by_name,
+  1,  cuminwalk__slot_busy__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__slot_busy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor cuminwalk__peer_seen__field_descriptors[2] =
@@ -1316,7 +1329,7 @@
   (ProtobufCMessageInit) cuminwalk__peer_seen__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__heartbeat__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cuminwalk__heartbeat__field_descriptors[14] =
 {
   {
     "incarnation",
@@ -1463,13 +1476,25 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "released",
+    "busy",
     13,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Heartbeat, n_released),
-    offsetof(Cuminwalk__Heartbeat, released),
-    &cuminwalk__slot_release__descriptor,
+    offsetof(Cuminwalk__Heartbeat, n_busy),
+    offsetof(Cuminwalk__Heartbeat, busy),
+    &cuminwalk__slot_busy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "receiver_incarnation",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__Heartbeat, receiver_incarnation),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1477,6 +1502,7 @@
 };
 static const unsigned cuminwalk__heartbeat__field_indices_by_name[] = {
   1,   /* field[1] = applied */
+  12,   /* field[12] = busy */
   10,   /* field[10] = drained */
   3,   /* field[3] = echo_ms */
   8,   /* field[8] = health */
@@ -1484,8 +1510,8 @@
   9,   /* field[9] = leaving */
   7,   /* field[7] = loads */
   4,   /* field[4] = member_epoch */
+  13,   /* field[13] = receiver_incarnation */
   5,   /* field[5] = receiver_member */
-  12,   /* field[12] = released */
   11,   /* field[11] = seen */
   2,   /* field[2] = sent_ms */
   6,   /* field[6] = stopping */
@@ -1493,7 +1519,7 @@
 static const ProtobufCIntRange cuminwalk__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cuminwalk__heartbeat__descriptor =
 {
@@ -1503,14 +1529,14 @@
   "Cuminwalk__Heartbeat",
   "cuminwalk",
   sizeof(Cuminwalk__Heartbeat),
-  13,
+  14,
   cuminwalk__heartbeat__field_descriptors,
   cuminwalk__heartbeat__field_indices_by_name,
   1,  cuminwalk__heartbeat__number_ranges,
   (ProtobufCMessageInit) cuminwalk__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__forward_request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cuminwalk__forward_request__field_descriptors[14] =
 {
   {
     "stream",
@@ -1668,8 +1694,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "authority",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__ForwardRequest, authority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cuminwalk__forward_request__field_indices_by_name[] = {
+  13,   /* field[13] = authority */
   6,   /* field[6] = body */
   10,   /* field[10] = caller */
   7,   /* field[7] = deadline_ms */
@@ -1687,7 +1726,7 @@
 static const ProtobufCIntRange cuminwalk__forward_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cuminwalk__forward_request__descriptor =
 {
@@ -1697,7 +1736,7 @@
   "Cuminwalk__ForwardRequest",
   "cuminwalk",
   sizeof(Cuminwalk__ForwardRequest),
-  13,
+  14,
   cuminwalk__forward_request__field_descriptors,
   cuminwalk__forward_request__field_indices_by_name,
   1,  cuminwalk__forward_request__number_ranges,
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -21,7 +21,7 @@
 typedef struct Cuminwalk__EndpointHealth Cuminwalk__EndpointHealth;
 typedef struct Cuminwalk__VmIncarnation Cuminwalk__VmIncarnation;
 typedef struct Cuminwalk__Drained Cuminwalk__Drained;
-typedef struct Cuminwalk__SlotRelease Cuminwalk__SlotRelease;
+typedef struct Cuminwalk__SlotBusy Cuminwalk__SlotBusy;
 typedef struct Cuminwalk__PeerSeen Cuminwalk__PeerSeen;
 typedef struct Cuminwalk__Heartbeat Cuminwalk__Heartbeat;
 typedef struct Cuminwalk__ForwardRequest Cuminwalk__ForwardRequest;
@@ -79,10 +79,12 @@
   uint32_t free_slots;
   uint32_t queue_delay_ms;
   uint32_t held_slots;
+  uint32_t busy;
+  uint32_t waiting;
 };
 #define CUMINWALK__SERVICE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__service_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Cuminwalk__EndpointHealth
@@ -120,18 +122,17 @@
 
 
 /*
- * A slot that was in use when its daemon lost it and that is free again.
+ * Slots of an endpoint that the sender lost while they were in use.
  */
-struct  Cuminwalk__SlotRelease
+struct  Cuminwalk__SlotBusy
 {
   ProtobufCMessage base;
-  char *vm;
-  uint64_t incarnation;
-  uint32_t slot;
+  uint64_t vm_hash;
+  uint64_t mask;
 };
-#define CUMINWALK__SLOT_RELEASE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__slot_release__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+#define CUMINWALK__SLOT_BUSY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__slot_busy__descriptor) \
+    , 0, 0 }
 
 
 struct  Cuminwalk__PeerSeen
@@ -172,12 +173,16 @@
   Cuminwalk__Drained **drained;
   size_t n_seen;
   Cuminwalk__PeerSeen **seen;
-  size_t n_released;
-  Cuminwalk__SlotRelease **released;
+  size_t n_busy;
+  Cuminwalk__SlotBusy **busy;
+  /*
+   * The receiver's incarnation that receiver_member speaks of.
+   */
+  uint64_t receiver_incarnation;
 };
 #define CUMINWALK__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Cuminwalk__ForwardRequest
@@ -197,10 +202,11 @@
   char *caller;
   uint32_t window;
   protobuf_c_boolean key_checked;
+  ProtobufCBinaryData authority;
 };
 #define CUMINWALK__FORWARD_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__forward_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
 
 
 struct  Cuminwalk__ForwardHead
@@ -439,24 +445,24 @@
 void   cuminwalk__drained__free_unpacked
                      (Cuminwalk__Drained *message,
                       ProtobufCAllocator *allocator);
-/* Cuminwalk__SlotRelease methods */
-void   cuminwalk__slot_release__init
-                     (Cuminwalk__SlotRelease         *message);
-size_t cuminwalk__slot_release__get_packed_size
-                     (const Cuminwalk__SlotRelease   *message);
-size_t cuminwalk__slot_release__pack
-                     (const Cuminwalk__SlotRelease   *message,
+/* Cuminwalk__SlotBusy methods */
+void   cuminwalk__slot_busy__init
+                     (Cuminwalk__SlotBusy         *message);
+size_t cuminwalk__slot_busy__get_packed_size
+                     (const Cuminwalk__SlotBusy   *message);
+size_t cuminwalk__slot_busy__pack
+                     (const Cuminwalk__SlotBusy   *message,
                       uint8_t             *out);
-size_t cuminwalk__slot_release__pack_to_buffer
-                     (const Cuminwalk__SlotRelease   *message,
+size_t cuminwalk__slot_busy__pack_to_buffer
+                     (const Cuminwalk__SlotBusy   *message,
                       ProtobufCBuffer     *buffer);
-Cuminwalk__SlotRelease *
-       cuminwalk__slot_release__unpack
+Cuminwalk__SlotBusy *
+       cuminwalk__slot_busy__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cuminwalk__slot_release__free_unpacked
-                     (Cuminwalk__SlotRelease *message,
+void   cuminwalk__slot_busy__free_unpacked
+                     (Cuminwalk__SlotBusy *message,
                       ProtobufCAllocator *allocator);
 /* Cuminwalk__PeerSeen methods */
 void   cuminwalk__peer_seen__init
@@ -687,8 +693,8 @@
 typedef void (*Cuminwalk__Drained_Closure)
                  (const Cuminwalk__Drained *message,
                   void *closure_data);
-typedef void (*Cuminwalk__SlotRelease_Closure)
-                 (const Cuminwalk__SlotRelease *message,
+typedef void (*Cuminwalk__SlotBusy_Closure)
+                 (const Cuminwalk__SlotBusy *message,
                   void *closure_data);
 typedef void (*Cuminwalk__PeerSeen_Closure)
                  (const Cuminwalk__PeerSeen *message,
@@ -736,7 +742,7 @@
 extern const ProtobufCMessageDescriptor cuminwalk__endpoint_health__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__vm_incarnation__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__drained__descriptor;
-extern const ProtobufCMessageDescriptor cuminwalk__slot_release__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__slot_busy__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__peer_seen__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__forward_request__descriptor;
