--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1423,13 +1423,14 @@
 #define CW_WAVE_VMS_MAX 4096 /* VMs in one pool */
 
 struct cw_wave_params {
-    cw_ms healthy_ms;       /* health before a resume, default 30 s */
+    cw_ms healthy_ms;       /* health before open and resume, default 30 s */
     cw_ms retry_ms;         /* before a VM is tried again, default 1 h */
     cw_ms hold_wait_ms;     /* longest wait for another wave's hold, 1 h */
     double deadline_share;  /* of maintain_every_ms, default 0.9 */
     double earliest_share;  /* no VM younger than this, default 0.5 */
     double open_share;      /* VMs due to open a wave, default 0.1 */
-    uint32_t first_limit;   /* batch limit of a new wave, default 2 */
+    uint32_t first_limit;   /* least batch limit of a new wave, default 2 */
+    double first_share;     /* of the pool, if that is more, default 0.1 */
     uint32_t fixed_batch;   /* 0 = adapt; else the batch size, for the bench */
     bool one_dc;            /* a batch stays within one data centre */
     bool one_rack;          /* and in as few racks as it fits in */
@@ -1522,8 +1523,8 @@
 /* The batch limit that the wave's operations lead to. A batch is a run of
  * operations that overlap, so every holder derives the same limit from the
  * log. */
-uint32_t cw_wave_limit(const struct cw_wave_params *p, size_t op_count,
-                       const struct cw_wave_op *ops);
+uint32_t cw_wave_limit(const struct cw_wave_params *p, size_t vm_count,
+                       size_t op_count, const struct cw_wave_op *ops);
 /* Marks in due[0 .. vm_count-1] the VMs that are due, and returns their
  * number. With p->spread the number grows evenly with time, so that each VM
  * has its turn before deadline_share of maintain_every_ms. */
@@ -1624,19 +1625,21 @@
 /* ===================================================================== */
 
 struct cw_spare_params {
-    double headroom;    /* on top of demand, default 0.2 */
-    double take_above;  /* demand over capacity to take, default 1.15 */
-    double give_below;  /* demand over capacity to give, default 0.70 */
-    double trend_limit; /* bound of the short over the long average, 1.1 */
-    cw_ms horizon_ms;   /* time in which a move has to pay off, 10 min */
-    cw_ms move_ms;      /* a VM's time out of service, default 120 s */
-    double move_cost;   /* weight of a move's cost, default 1 */
-    uint32_t bursts;    /* services that can burst at once */
-    bool hysteresis;    /* off: take at 1.0, give when one VM is idle */
-    bool use_trend;     /* off: react to the current demand */
-    bool check_payoff;  /* off: any shortage moves a VM */
-    bool one_per_pool;  /* at most one open move per pool */
-    bool enabled;       /* off: no moves at all */
+    double headroom;      /* on top of demand, default 0.2 */
+    double take_above;    /* demand over capacity to take, default 1.15 */
+    double give_below;    /* demand over capacity to give, default 0.70 */
+    double trend_limit;   /* bound of the short over the long average, 1.1 */
+    cw_ms horizon_ms;     /* time in which a move has to pay off, 10 min */
+    cw_ms move_ms;        /* a VM's time out of service, default 120 s */
+    double move_cost;     /* weight of a move's cost, default 1 */
+    uint32_t bursts;      /* services that can burst at once */
+    double reserve_share; /* a burst counts up to this share, 0.25 */
+    bool hysteresis;      /* off: take at 1.0, give when one VM is idle */
+    bool use_trend;       /* off: react to the current demand */
+    bool check_payoff;    /* off: any shortage moves a VM */
+    bool one_per_pool;    /* at most one open move per pool */
+    bool return_idle;     /* idle VMs go to the spare pool unasked */
+    bool enabled;         /* off: no moves at all */
 };
 
 /* One pool. Demands are averages of slots in use or asked for. */
@@ -1678,7 +1681,7 @@
                      const struct cw_spare_pool *pools,
                      struct cw_spare_out *out);
 /* VMs that the spare pool keeps: those that the largest p->bursts bursts
- * exceed their pools by. */
+ * exceed their pools by, each at most reserve_share of its pool. */
 uint32_t cw_spare_reserve(const struct cw_spare_params *p, size_t count,
                           const struct cw_spare_pool *pools);
 
--- a/packages/policy/cw_op.c
+++ b/packages/policy/cw_op.c
@@ -150,8 +150,12 @@
             struct cw_op_out *out)
 {
     bool move = in->kind == CW_OP_MOVE;
+    /* In service under this step's fence: only the reboot does that, also
+     * when the VM's new incarnation came into the log before. */
+    bool back = in->status.state == CW_OP_VM_READY &&
+                in->status.fence == in->step_offset;
     bool taken = move ? cw_str_eq(in->status.pool, in->to)
-                      : in->status.incarnation > in->incarnation;
+                      : back || in->status.incarnation > in->incarnation;
     if (taken || (!move && in->status.state == CW_OP_VM_REBOOTING)) {
         append(in, out, CW_STEP_RETURNING, "");
     }
--- a/packages/policy/cw_spare.c
+++ b/packages/policy/cw_spare.c
@@ -18,10 +18,12 @@
         .move_ms = 120 * CW_SECOND,
         .move_cost = 1,
         .bursts = 1,
+        .reserve_share = 0.25,
         .hysteresis = true,
         .use_trend = true,
         .check_payoff = true,
         .one_per_pool = true,
+        .return_idle = true,
         .enabled = true,
     };
 }
@@ -76,7 +78,9 @@
         for (size_t i = 0; i < count; i++) {
             const struct cw_spare_pool *s = &pools[i];
             double over = s->burst - (double)s->vms * s->slots;
+            double most_vms = (double)s->vms * p->reserve_share;
             double vms = s->slots > 0 ? over / s->slots : 0;
+            vms = vms < most_vms ? vms : most_vms;
             if (!used[i] && !s->spare && vms > most) {
                 best = i;
                 most = vms;
@@ -239,8 +243,7 @@
 }
 
 /* VMs above vms_max go to the spare pool, and idle ones when it lacks its
- * reserve. A VM that nobody lacks stays where it is: moving it would cost a
- * reboot and gain nothing. */
+ * reserve or when idle VMs are returned unasked. */
 static void
 refill_spare(struct plan *pl, struct cw_spare_out *out)
 {
@@ -265,10 +268,10 @@
         if (s.vms > s.vms_max) {
             add_move(pl, out, i, to, "above vms_max", 0);
         }
-        else if (lacks || !pl->params->hysteresis) {
-            add_move(pl, out, i, to, "refill of the spare pool",
-                     (double)(want > keep.vms ? want - keep.vms : 0) *
-                         keep.slots);
+        else if (lacks || pl->params->return_idle) {
+            add_move(
+                pl, out, i, to, lacks ? "refill of the spare pool" : "idle",
+                (double)(want > keep.vms ? want - keep.vms : 0) * keep.slots);
         }
     }
 }
--- a/packages/policy/cw_wave.c
+++ b/packages/policy/cw_wave.c
@@ -17,6 +17,7 @@
         .earliest_share = 0.5,
         .open_share = 0.1,
         .first_limit = 2,
+        .first_share = 0.1,
         .one_dc = true,
         .one_rack = true,
         .check_capacity = true,
@@ -35,13 +36,15 @@
 }
 
 uint32_t
-cw_wave_limit(const struct cw_wave_params *p, size_t op_count,
+cw_wave_limit(const struct cw_wave_params *p, size_t vm_count, size_t op_count,
               const struct cw_wave_op *ops)
 {
     if (p->fixed_batch > 0) {
         return p->fixed_batch;
     }
-    uint32_t limit = p->first_limit > 0 ? p->first_limit : 1;
+    uint32_t share = (uint32_t)(p->first_share * (double)vm_count);
+    uint32_t limit = p->first_limit > share ? p->first_limit : share;
+    limit = limit > 0 ? limit : 1;
     size_t i = 0;
     while (i < op_count) {
         uint64_t end = ops[i].last_offset;
@@ -136,7 +139,7 @@
     CW_INVARIANT(in->vm_count <= CW_WAVE_VMS_MAX);
     memset(due, 0, in->vm_count * sizeof(due[0]));
     cw_ms latest = sort_by_age(in, order);
-    double pace = p->spread ? paced(p, in, order, latest) : INFINITY;
+    double pace = p->spread ? paced(p, in, order, latest) : 0;
     cw_ms allowed = (cw_ms)((double)in->maintain_every_ms * p->deadline_share);
     uint32_t count = 0;
     for (size_t i = 0; i < in->vm_count; i++) {
@@ -283,13 +286,26 @@
 
 /* ---- health and the wave's records ----------------------------------- */
 
+/* A VM failed since the wave's last record; in a wave on hold, within the
+ * time of health that a resume needs. */
+static bool
+is_fresh_failure(const struct cw_wave_params *p, const struct cw_wave_in *in,
+                 const struct cw_wave_op *op)
+{
+    if (op->step != CW_STEP_FAILED) {
+        return false;
+    }
+    return in->held ? in->wall - op->ended < p->healthy_ms
+                    : op->ended > in->changed;
+}
+
 /* Writes the reason why the pool is not healthy; false when it is. */
 static bool
-is_unhealthy(const struct cw_wave_in *in, uint32_t ready, char reason[96])
+is_unhealthy(const struct cw_wave_params *p, const struct cw_wave_in *in,
+             uint32_t ready, char reason[96])
 {
     for (size_t i = 0; i < in->op_count; i++) {
-        if (in->ops[i].step == CW_STEP_FAILED &&
-            in->ops[i].ended > in->changed) {
+        if (is_fresh_failure(p, in, &in->ops[i])) {
             snprintf(reason, 96, "VM %.*s did not return",
                      CW_FMT(in->ops[i].vm));
             return true;
@@ -344,6 +360,17 @@
     snprintf(out->reason, sizeof(out->reason), "%s", why);
 }
 
+/* Counts time in health; true once it has lasted for healthy_ms. */
+static bool
+has_been_healthy(struct cw_wave *w, const struct cw_wave_params *p,
+                 const struct cw_wave_in *in)
+{
+    if (w->healthy_since == 0) {
+        w->healthy_since = in->wall;
+    }
+    return in->wall - w->healthy_since >= p->healthy_ms;
+}
+
 static void
 decide_held(struct cw_wave *w, const struct cw_wave_params *p,
             const struct cw_wave_in *in, bool sick, struct cw_wave_out *out)
@@ -353,10 +380,7 @@
         out->decision = CW_WAVE_WAIT; /* reason is set */
         return;
     }
-    if (w->healthy_since == 0) {
-        w->healthy_since = in->wall;
-    }
-    if (in->wall - w->healthy_since >= p->healthy_ms) {
+    if (has_been_healthy(w, p, in)) {
         w->healthy_since = 0;
         record(out, CW_WAVE_RESUME, "healthy again");
         return;
@@ -364,10 +388,14 @@
     wait_for(out, "healthy for less than the required time");
 }
 
+/* A new holder knows neither health nor counts yet, so it waits before it
+ * opens a wave, too. */
 static void
-decide_open(const struct cw_wave_params *p, const struct cw_wave_in *in,
-            const bool *due, struct cw_wave_out *out)
+decide_open(struct cw_wave *w, const struct cw_wave_params *p,
+            const struct cw_wave_in *in, const bool *due,
+            struct cw_wave_out *out)
 {
+    bool healthy = has_been_healthy(w, p, in);
     uint32_t enough = (uint32_t)ceil(p->open_share * (double)in->vm_count);
     cw_ms allowed = (cw_ms)((double)in->maintain_every_ms * p->deadline_share);
     bool overdue = false;
@@ -384,6 +412,9 @@
     else if (in->exhausted && p->check_budget) {
         wait_for(out, "availability budget used up");
     }
+    else if (!healthy) {
+        wait_for(out, "healthy for less than the required time");
+    }
     else {
         snprintf(out->reason, sizeof(out->reason), "%u VMs due", out->due);
         record(out, CW_WAVE_OPEN, out->reason);
@@ -430,9 +461,9 @@
         return;
     }
     uint32_t ready = count_ready(in);
-    out->limit = cw_wave_limit(p, in->op_count, in->ops);
+    out->limit = cw_wave_limit(p, in->vm_count, in->op_count, in->ops);
     out->due = cw_wave_due(p, in, due);
-    bool sick = p->hold && is_unhealthy(in, ready, out->reason);
+    bool sick = p->hold && is_unhealthy(p, in, ready, out->reason);
     if (in->open && in->held) {
         decide_held(w, p, in, sick, out);
     }
@@ -441,10 +472,11 @@
         record(out, CW_WAVE_HOLD, out->reason);
     }
     else if (sick) {
+        w->healthy_since = 0;
         out->decision = CW_WAVE_WAIT;
     }
     else if (!in->open) {
-        decide_open(p, in, due, out);
+        decide_open(w, p, in, due, out);
     }
     else if (is_batch_open(in)) {
         wait_for(out, "batch in progress");
--- a/tests/test_spare.c
+++ b/tests/test_spare.c
@@ -51,16 +51,19 @@
         bool moving;
         uint32_t moves;
     } cases[] = {
-        {"quiet", 20, 20, 4, 14, 10, false, 0},
+        {"quiet", 50, 50, 4, 14, 10, false, 0},
+        {"idle", 40, 40, 4, 14, 10, false, 1},
+        {"idle for 2 min", 40, 50, 4, 14, 10, false, 0},
+        {"idle at vms_min", 40, 40, 10, 14, 10, false, 0},
         {"morning trend", 85, 75, 4, 14, 10, false, 1},
         {"just below", 76, 76, 4, 14, 10, false, 0},
         {"one burst of 30 s", 120, 55, 4, 14, 10, false, 0},
         {"trend that has ended", 30, 90, 4, 14, 10, false, 0},
         {"at vms_max", 85, 80, 4, 10, 10, false, 0},
-        {"below vms_min", 20, 20, 11, 14, 10, false, 1},
+        {"below vms_min", 50, 50, 11, 14, 10, false, 1},
         {"move open", 85, 80, 4, 14, 10, true, 0},
         {"spare pool has none", 85, 80, 4, 14, 4, false, 0},
-        {"above vms_max", 20, 20, 4, 9, 10, false, 1},
+        {"above vms_max", 50, 50, 4, 9, 10, false, 1},
     };
     struct cw_spare_params p = cw_spare_defaults();
     for (size_t i = 0; i < COUNT(cases); i++) {
@@ -124,8 +127,8 @@
     struct cw_spare_out out;
     struct cw_spare_params p = cw_spare_defaults();
     setup(pools);
-    pools[0].burst = 100; /* 20 slots above the pool: 3 VMs */
-    pools[1].burst = 90;  /* 2 VMs */
+    pools[0].burst = 800; /* bounded by a quarter of the pool: 3 VMs */
+    pools[1].burst = 90;  /* 10 slots above the pool: 2 VMs */
     static const uint32_t reserves[] = {0, 3, 5, 5};
     for (uint32_t k = 0; k < COUNT(reserves); k++) {
         p.bursts = k;
--- a/tests/test_wave.c
+++ b/tests/test_wave.c
@@ -59,6 +59,7 @@
         .needed = 8,
         .budget_limit = UINT32_MAX,
     };
+    w->wave.healthy_since = T0 - CW_MINUTE;
 }
 
 static enum cw_wave_decision
@@ -192,18 +193,20 @@
     (void)state;
     struct world w;
     setup(&w);
-    assert_int_equal(cw_wave_limit(&w.params, 0, w.ops), 2);
+    assert_int_equal(cw_wave_limit(&w.params, VMS, 0, w.ops), 2);
     add_op(&w, 0, 10, 30, CW_STEP_DONE);
     add_op(&w, 1, 11, 31, CW_STEP_DONE);
-    assert_int_equal(cw_wave_limit(&w.params, w.in.op_count, w.ops), 3);
+    assert_int_equal(cw_wave_limit(&w.params, VMS, w.in.op_count, w.ops), 3);
     add_op(&w, 2, 40, 60, CW_STEP_DONE);
     add_op(&w, 3, 41, 50, CW_STEP_CANCELLED);
-    assert_int_equal(cw_wave_limit(&w.params, w.in.op_count, w.ops), 4);
+    assert_int_equal(cw_wave_limit(&w.params, VMS, w.in.op_count, w.ops), 4);
     add_op(&w, 4, 70, 90, CW_STEP_FAILED);
     add_op(&w, 5, 71, 75, CW_STEP_FAILED);
-    assert_int_equal(cw_wave_limit(&w.params, w.in.op_count, w.ops), 2);
+    assert_int_equal(cw_wave_limit(&w.params, VMS, w.in.op_count, w.ops), 2);
     add_op(&w, 6, 100, 101, CW_STEP_DRAINED);
-    assert_int_equal(cw_wave_limit(&w.params, w.in.op_count, w.ops), 2);
+    assert_int_equal(cw_wave_limit(&w.params, VMS, w.in.op_count, w.ops), 2);
+    /* A large pool begins with a share of its VMs. */
+    assert_int_equal(cw_wave_limit(&w.params, 100, 0, w.ops), 10);
     assert_int_equal(decide(&w), CW_WAVE_RECORD); /* the failures */
     w.in.changed = T0 + 1;
     assert_int_equal(decide(&w), CW_WAVE_WAIT); /* batch in progress */
@@ -232,6 +235,9 @@
     w.in.held = true;
     w.in.changed = T0;
     assert_int_equal(decide(&w), CW_WAVE_WAIT);
+    /* A VM that fails during the hold may not keep it up for good. */
+    add_op(&w, 2, 12, 33, CW_STEP_FAILED);
+    w.ops[2].ended = T0 + 1000;
     w.in.wall = T0 + 29 * CW_SECOND;
     w.in.needed = 11; /* a break in health */
     assert_int_equal(decide(&w), CW_WAVE_WAIT);
