Schedule jobs of documents in the daemon

Cause: the placement decisions were not called by the daemon. Change: ctl_place claims the cells that the daemon holds in their streams, replays task records, reads worker reports, appends start, ended, lost, carry and told records, and calls workers only after a start record was read back and while the membership is confirmed.

--- /dev/null
+++ b/packages/daemon/ctl_place_calls.c
@@ -0,0 +1,267 @@
+/* Worker reports and worker calls of a placement cell. */
+#include "ctl_place.h"
+
+#include <stdlib.h>
+
+#define REPORT_MS (2 * CW_SECOND)
+
+/* ---- reports ----------------------------------------------------------- */
+
+static void
+take_report(struct place_cell *c, const struct cw_worker_report *r, cw_ms now)
+{
+    struct cw_place_seen *seen = calloc(r->task_count + 1, sizeof(*seen));
+    if (seen == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < r->task_count; i++) {
+        const struct cw_task_report *t = &r->tasks[i];
+        seen[i] = (struct cw_place_seen){
+            .task = cw_name_str(&t->task),
+            .fence = t->fence,
+            .cpu_milli = t->cpu_milli,
+            .memory_mb = t->memory_mb,
+        };
+        switch (t->state) {
+        case CW_TASK_RUNNING:
+            seen[i].state = CW_SEEN_RUNNING;
+            break;
+        case CW_TASK_DONE:
+            seen[i].state = CW_SEEN_DONE;
+            break;
+        case CW_TASK_FAILED:
+            seen[i].state = CW_SEEN_FAILED;
+            break;
+        case CW_TASK_CHECKPOINTED:
+            seen[i].state = CW_SEEN_SAVED;
+            break;
+        }
+    }
+    struct cw_size size = {r->cpu_milli, r->memory_mb, r->accelerators};
+    cw_place_worker_report(&c->place, cw_name_str(&r->worker),
+                           cw_name_str(&r->rack), size, seen, r->task_count,
+                           now, place_act, c);
+    free(seen);
+}
+
+static void
+on_reports(void *arg, enum cw_status s, uint64_t version, size_t count,
+           const struct cw_worker_report *reports)
+{
+    struct place_call *call = arg;
+    struct place_cell *c = call->cell;
+    if (!place_call_end(call)) {
+        return;
+    }
+    c->reporting = false;
+    if (s != CW_OK) {
+        return;
+    }
+    cw_ms now = cw_daemon_now(c->ctl->d);
+    for (size_t i = 0; i < count; i++) {
+        take_report(c, &reports[i], now);
+    }
+    c->report_version = version;
+}
+
+void
+place_reports_tick(struct place_cell *c, cw_ms now)
+{
+    struct cw_daemon *d = c->ctl->d;
+    if (c->reporting || now - c->report_at < REPORT_MS) {
+        return;
+    }
+    struct place_call *call = place_call_begin(c);
+    if (call == NULL) {
+        return;
+    }
+    c->reporting = true;
+    c->report_at = now;
+    d->worker.reports(d->worker.ctx, c->n, (uint32_t)c->ctl->count,
+                      c->report_version, on_reports, call);
+}
+
+/* ---- calls -------------------------------------------------------------- */
+
+static void
+on_start(struct place_cell *c, const struct place_call *call, enum cw_status s)
+{
+    /* After an unknown outcome the reports tell whether the task runs. */
+    if (s == CW_OK || s == CW_ERR_UNKNOWN) {
+        return;
+    }
+    struct cw_str task = cw_name_str(&call->task);
+    place_record(c, "ended",
+                 json_pack("{ss,sI,ss}", "task", call->task.text, "attempt",
+                           (json_int_t)call->attempt, "result",
+                           cw_status_name(s)),
+                 true);
+    cw_place_start_failed(&c->place, task, call->attempt,
+                          cw_daemon_now(c->ctl->d));
+}
+
+static void
+on_call(void *arg, enum cw_status s)
+{
+    struct place_call *call = arg;
+    struct place_call copy = *call;
+    struct place_cell *c = call->cell;
+    if (!place_call_end(call)) {
+        return;
+    }
+    if (s != CW_OK) {
+        cw_log(CW_WARN, "worker_call",
+               "cell=%u worker=%s task=%s call=%d status=%s", c->n,
+               copy.worker.text, copy.task.text, copy.what, cw_status_name(s));
+    }
+    if (copy.what == CW_WORKER_START) {
+        on_start(c, &copy, s);
+    }
+    if (copy.what == CW_WORKER_RENEW) {
+        cw_place_renewed(&c->place, cw_name_str(&copy.worker), copy.sent_at,
+                         s == CW_OK);
+    }
+}
+
+/* Sends a call unless the membership is unconfirmed: a daemon that was paused
+ * must not act on what it held before. */
+static void
+send_call(struct place_cell *c, enum cw_worker_call what,
+          const struct cw_task_order *order, uint32_t attempt)
+{
+    struct cw_daemon *d = c->ctl->d;
+    if (!cw_daemon_confirmed(d, cw_daemon_now(d))) {
+        cw_log(CW_WARN, "worker_call_withheld", "cell=%u worker=%s task=%s",
+               c->n, order->worker, order->task);
+        return;
+    }
+    struct place_call *call = place_call_begin(c);
+    if (call == NULL) {
+        return;
+    }
+    call->what = what;
+    call->attempt = attempt;
+    cw_name_set(&call->task, cw_str_from(order->task));
+    cw_name_set(&call->worker, cw_str_from(order->worker));
+    d->worker.call(d->worker.ctx, what, order, on_call, call);
+}
+
+void
+place_call_start(struct place_cell *c, const struct cw_place_task *t,
+                 struct cw_str worker)
+{
+    struct cw_name name;
+    cw_name_set(&name, worker);
+    struct cw_task_order order = {
+        .worker = name.text,
+        .task = t->name.text,
+        .fence = t->fence,
+        .lease_ms = c->place.params.lease_ms,
+        .cpu_milli = t->given.cpu_milli,
+        .memory_mb = t->given.memory_mb,
+        .accelerators = t->given.accelerators,
+        .run_ms = cw_place_run_ms(t),
+    };
+    send_call(c, CW_WORKER_START, &order, t->attempt);
+}
+
+void
+place_call_stop(struct place_cell *c, struct cw_str task, struct cw_str worker,
+                uint64_t fence)
+{
+    struct cw_name task_name;
+    struct cw_name worker_name;
+    cw_name_set(&task_name, task);
+    cw_name_set(&worker_name, worker);
+    if (worker_name.len == 0) {
+        return;
+    }
+    struct cw_task_order order = {
+        .worker = worker_name.text,
+        .task = task_name.text,
+        .fence = fence,
+    };
+    send_call(c, CW_WORKER_STOP, &order, 0);
+}
+
+/* ---- actions ------------------------------------------------------------ */
+
+static void
+order_task(struct place_cell *c, enum cw_worker_call what,
+           const struct cw_place_action *a)
+{
+    struct cw_name worker;
+    cw_name_set(&worker, a->worker);
+    struct cw_task_order order = {
+        .worker = worker.text,
+        .task = a->task == NULL ? "*" : a->task->name.text,
+        .fence = a->task == NULL ? 0 : a->task->fence,
+        .lease_ms = c->place.params.lease_ms,
+    };
+    send_call(c, what, &order, a->task == NULL ? 0 : a->task->attempt);
+}
+
+static void
+record_start(struct place_cell *c, const struct cw_place_action *a)
+{
+    place_record(c, "start",
+                 json_pack("{ss,ss%,sI,sI,sI,sI}", "task", a->task->name.text,
+                           "worker", a->worker.ptr, a->worker.len, "attempt",
+                           (json_int_t)a->task->attempt, "cpu_milli",
+                           (json_int_t)a->size.cpu_milli, "memory_mb",
+                           (json_int_t)a->size.memory_mb, "accelerators",
+                           (json_int_t)a->size.accelerators),
+                 false);
+}
+
+static void
+record_outcome(struct place_cell *c, const char *type,
+               const struct cw_place_action *a)
+{
+    const char *worker = a->worker.ptr == NULL ? "" : a->worker.ptr;
+    place_record(c, type,
+                 json_pack("{ss,ss%,sI,ss}", "task", a->task->name.text,
+                           "worker", worker, a->worker.len, "attempt",
+                           (json_int_t)a->task->attempt, "result", a->text),
+                 true);
+}
+
+void
+place_act(void *ctx, const struct cw_place_action *a)
+{
+    struct place_cell *c = ctx;
+    char quoted[CW_QUOTED_MAX];
+    switch (a->kind) {
+    case CW_PLACE_START:
+        record_start(c, a);
+        break;
+    case CW_PLACE_RENEW:
+        order_task(c, CW_WORKER_RENEW, a);
+        break;
+    case CW_PLACE_CHECKPOINT:
+        order_task(c, CW_WORKER_CHECKPOINT, a);
+        break;
+    case CW_PLACE_THROTTLE:
+        order_task(c, CW_WORKER_THROTTLE, a);
+        break;
+    case CW_PLACE_STOP:
+        order_task(c, CW_WORKER_STOP, a);
+        break;
+    case CW_PLACE_RECORD_ENDED:
+        record_outcome(c, "ended", a);
+        break;
+    case CW_PLACE_RECORD_LOST:
+        record_outcome(c, "lost", a);
+        break;
+    case CW_PLACE_TELL:
+        place_record(c, "told",
+                     json_pack("{ss,ss,ss}", "task", a->task->name.text,
+                               "state", cw_place_state_name(a->task->state),
+                               "reason", a->text),
+                     true);
+        cw_log(CW_WARN, "task_refused", "cell=%u task=%s state=%s reason=%s",
+               c->n, a->task->name.text, cw_place_state_name(a->task->state),
+               cw_quoted(quoted, cw_str_from(a->text)));
+        break;
+    }
+}
--- a/packages/daemon/ctl_table.c
+++ b/packages/daemon/ctl_table.c
@@ -1,7 +1,8 @@
-#include "cw_daemon.h"
+#include "ctl_place.h"
 
 /* Control modules in the order in which they run. A NULL name ends the table,
  * so that it may be empty. */
 const struct cw_ctl cw_ctl_table[] = {
+    {"place", cw_ctl_place_init, cw_ctl_place_tick, cw_ctl_place_finish},
     {NULL, NULL, NULL, NULL},
 };
