--- a/standins/endpoint_main.c
+++ b/standins/endpoint_main.c
@@ -82,6 +82,9 @@
     int rc = 0;
     for (size_t i = 0; rc == 0 && i < json_array_size(vms); i++) {
         const json_t *vm = json_array_get(vms, i);
+        if (json_object_get(vm, "control") == NULL) {
+            continue; /* a VM that nobody serves */
+        }
         rc = start_endpoint(o,
                             json_string_value(json_object_get(vm, "address")),
                             json_string_value(json_object_get(vm, "control")),
