Keep replaced VMs out, and merge statistics after 30 minutes

Cause: after a vm record with gone, a daemon whose VM list lags could adopt the same VM again, and two daemons could write adoption and removal in turn for as long as the lists differ.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -649,14 +649,19 @@
 
 /* Time for which finished operations, edits and statistics are kept. */
 #define CW_HISTORY_MS (15 * CW_DAY)
+/* Statistics are kept as written for this long, which covers the 15 min that
+ * moves look back; older ones are merged, or they would be most of the state
+ * and of each snapshot. */
+#define CW_STAT_FINE_MS (30 * CW_MINUTE)
 /* Edits kept in all; a flood of edits drops the oldest ones earlier. */
 #define CW_EDITS_MAX 16384
 
 /* Tells the log service's time of the record that was just applied or
- * skipped. Call it after each record: once an hour of log time it drops
+ * skipped. Call it after each record: every 10 min of log time it drops
  * history older than CW_HISTORY_MS and merges statistics that ended more than
- * an hour ago into one entry an hour. The log's time is used because it is the
- * same on every replica and no daemon's clock can move it. */
+ * CW_STAT_FINE_MS ago into one entry an hour for all daemons. The log's time
+ * is used because it is the same on every replica and no daemon's clock can
+ * move it. */
 void cw_state_advance(struct cw_state *s, cw_ms log_time);
 
 /* Drops finished operations, closed waves, edits and statistics that ended
--- a/packages/state/cw_index.c
+++ b/packages/state/cw_index.c
@@ -257,24 +257,36 @@
     s->member_count++;
 }
 
-void
-cw_state_add_departed(struct cw_state *s, const struct cw_name *daemon,
-                      uint64_t incarnation)
+static size_t
+departed_at(const struct cw_departed *d, const struct cw_name *name)
 {
-    struct cw_state_index *x = cw_index(s);
-    struct cw_departed *list = x->departed;
     size_t at = 0;
-    while (at < x->departed_count && !cw_name_eq(&list[at].daemon, daemon)) {
+    while (at < d->count && !cw_name_eq(&d->items[at].name, name)) {
         at++;
     }
-    if (at == x->departed_count && at == CW_DEPARTED_MAX) {
+    return at;
+}
+
+uint64_t
+cw_departed_last(const struct cw_departed *d, const struct cw_name *name)
+{
+    size_t at = departed_at(d, name);
+    return at == d->count ? 0 : d->items[at].incarnation;
+}
+
+void
+cw_departed_add(struct cw_departed *d, const struct cw_name *name,
+                uint64_t incarnation)
+{
+    size_t at = departed_at(d, name);
+    if (at == d->count && at == CW_DEPARTED_MAX) {
         at = 0;
     }
-    if (at < x->departed_count) {
-        memmove(&list[at], &list[at + 1],
-                (x->departed_count - at - 1) * sizeof(*list));
-        x->departed_count--;
+    if (at < d->count) {
+        d->count--;
+        memmove(&d->items[at], &d->items[at + 1],
+                (d->count - at) * sizeof(d->items[0]));
     }
-    list[x->departed_count].daemon = *daemon;
-    list[x->departed_count++].incarnation = incarnation;
+    d->items[d->count].name = *name;
+    d->items[d->count++].incarnation = incarnation;
 }
--- a/packages/state/cw_index.h
+++ b/packages/state/cw_index.h
@@ -11,15 +11,21 @@
     struct cw_wave_entry *wave; /* open wave or NULL */
 };
 
-/* Highest incarnation of a daemon that is no member any more. */
+/* Daemons or VMs kept after they left, oldest dropped first. At 520
+ * replacements of VMs a day this covers about 2 days, while the platform's VM
+ * list lags by minutes at most. */
+#define CW_DEPARTED_MAX 1024
+
+/* Last incarnations of daemons or VMs that are no longer in the state. A late
+ * record of such an incarnation must not bring it back. */
 struct cw_departed {
-    struct cw_name daemon;
-    uint64_t incarnation;
+    size_t count;
+    struct {
+        struct cw_name name;
+        uint64_t incarnation;
+    } items[CW_DEPARTED_MAX];
 };
 
-/* Departed daemons kept, oldest dropped first. */
-#define CW_DEPARTED_MAX 256
-
 struct cw_state_index {
     struct cw_map docs;
     struct cw_map vms;
@@ -28,9 +34,9 @@
     struct cw_map pools;
     struct cw_pool_entry **pool_list; /* in order of first use */
     size_t pool_count;
-    size_t departed_count;
-    struct cw_departed departed[CW_DEPARTED_MAX];
-    cw_ms hour; /* start of the hour of the last cw_state_advance */
+    struct cw_departed members_gone;
+    struct cw_departed vms_gone;
+    cw_ms tick; /* log time up to which cw_state_advance has worked */
 
     /* Hashes of the last record ids: a ring in order of arrival and an open
      * addressing set over the same values, 0 = free slot. */
@@ -74,8 +80,11 @@
 void cw_state_add_edit(struct cw_state *s, struct cw_edit_entry *e);
 void cw_state_add_stat(struct cw_state *s, struct cw_rec_stat *e);
 void cw_state_add_member(struct cw_state *s, const struct cw_member_entry *e);
-void cw_state_add_departed(struct cw_state *s, const struct cw_name *daemon,
-                           uint64_t incarnation);
+void cw_departed_add(struct cw_departed *d, const struct cw_name *name,
+                     uint64_t incarnation);
+/* The last incarnation under that name, 0 when it is not known. */
+uint64_t cw_departed_last(const struct cw_departed *d,
+                          const struct cw_name *name);
 /* Sets doc as the document of its pool. */
 void cw_state_link_doc(struct cw_state *s, struct cw_doc_entry *e);
 
--- a/packages/state/cw_state.c
+++ b/packages/state/cw_state.c
@@ -174,23 +174,12 @@
 remove_member(struct cw_state *s, const struct cw_member_entry *m)
 {
     size_t at = (size_t)(m - s->members);
-    cw_state_add_departed(s, &m->daemon, m->incarnation);
+    cw_departed_add(&cw_index(s)->members_gone, &m->daemon, m->incarnation);
     s->member_count--;
     memmove(&s->members[at], &s->members[at + 1],
             (s->member_count - at) * sizeof(*s->members));
 }
 
-static uint64_t
-departed_incarnation(const struct cw_state *s, const struct cw_name *daemon)
-{
-    for (size_t i = 0; s->index != NULL && i < s->index->departed_count; i++) {
-        if (cw_name_eq(&s->index->departed[i].daemon, daemon)) {
-            return s->index->departed[i].incarnation;
-        }
-    }
-    return 0;
-}
-
 static enum cw_apply
 apply_join(struct cw_state *s, uint64_t offset, const struct cw_record *r)
 {
@@ -198,7 +187,8 @@
     const struct cw_member_entry *old =
         cw_state_member(s, cw_name_str(&m->daemon));
     uint64_t last =
-        old != NULL ? old->incarnation : departed_incarnation(s, &m->daemon);
+        old != NULL ? old->incarnation
+                    : cw_departed_last(&cw_index(s)->members_gone, &m->daemon);
     if (!cw_name_eq(&r->by, &m->daemon)) {
         return reject(s, "join of %s written by %s", m->daemon.text,
                       r->by.text);
@@ -274,6 +264,7 @@
         return reject(s, "VM %s has the open operation %s", v->vm.text,
                       e->op.text);
     }
+    cw_departed_add(&cw_index(s)->vms_gone, &e->vm, v->incarnation);
     cw_state_remove_vm(s, e);
     return CW_APPLY_OK;
 }
@@ -291,6 +282,11 @@
         return reject(s, "VM %s has incarnation %llu already", v->vm.text,
                       (unsigned long long)e->incarnation);
     }
+    uint64_t gone = cw_departed_last(&cw_index(s)->vms_gone, &v->vm);
+    if (!known && gone > 0 && v->incarnation <= gone) {
+        return reject(s, "VM %s left with incarnation %llu", v->vm.text,
+                      (unsigned long long)gone);
+    }
     if (!known) {
         e = cw_need(calloc(1, sizeof(*e)));
         e->vm = v->vm;
--- a/packages/state/cw_state_import.c
+++ b/packages/state/cw_state_import.c
@@ -74,7 +74,7 @@
 import_head(struct cw_state *s, struct reader *r)
 {
     s->member_epoch = get_uint(r);
-    cw_index(s)->hour = get_int(r, INT64_MAX);
+    cw_index(s)->tick = get_int(r, INT64_MAX);
     return complete(r);
 }
 
@@ -95,17 +95,29 @@
 }
 
 static bool
-import_departed(struct cw_state *s, struct reader *r)
+add_departed(struct cw_departed *d, struct reader *r)
 {
-    struct cw_name daemon = get_name(r);
+    struct cw_name name = get_name(r);
     uint64_t incarnation = get_uint(r);
     if (!complete(r)) {
         return false;
     }
-    cw_state_add_departed(s, &daemon, incarnation);
+    cw_departed_add(d, &name, incarnation);
     return true;
 }
 
+static bool
+import_departed(struct cw_state *s, struct reader *r)
+{
+    return add_departed(&cw_index(s)->members_gone, r);
+}
+
+static bool
+import_gone(struct cw_state *s, struct reader *r)
+{
+    return add_departed(&cw_index(s)->vms_gone, r);
+}
+
 static bool
 import_doc(struct cw_state *s, struct reader *r)
 {
@@ -343,7 +355,8 @@
     {"text", import_text}, {"vm", import_vm},
     {"op", import_op},     {"wave", import_wave},
     {"edit", import_edit}, {"stat", import_stat},
-    {"rows", import_rows}, {"ids", import_ids},
+    {"gone", import_gone}, {"rows", import_rows},
+    {"ids", import_ids},
 };
 
 static enum cw_status
--- a/packages/state/cw_state_snap.c
+++ b/packages/state/cw_state_snap.c
@@ -170,12 +170,24 @@
     }
 }
 
+static void
+export_departed(struct writer *w, const char *kind,
+                const struct cw_departed *d)
+{
+    for (size_t i = 0; i < d->count; i++) {
+        begin(w, kind);
+        put_name(w, &d->items[i].name);
+        put_uint(w, d->items[i].incarnation);
+        end(w);
+    }
+}
+
 static void
 export_members(struct writer *w, const struct cw_state *s)
 {
     begin(w, "head");
     put_uint(w, s->member_epoch);
-    put_int(w, s->index == NULL ? 0 : s->index->hour);
+    put_int(w, s->index == NULL ? 0 : s->index->tick);
     end(w);
     for (size_t i = 0; i < s->member_count; i++) {
         const struct cw_member_entry *m = &s->members[i];
@@ -187,11 +199,9 @@
         put_uint(w, m->offset);
         end(w);
     }
-    for (size_t i = 0; s->index != NULL && i < s->index->departed_count; i++) {
-        begin(w, "departed");
-        put_name(w, &s->index->departed[i].daemon);
-        put_uint(w, s->index->departed[i].incarnation);
-        end(w);
+    if (s->index != NULL) {
+        export_departed(w, "departed", &s->index->members_gone);
+        export_departed(w, "gone", &s->index->vms_gone);
     }
 }
 
