Run maintenance and moves in the daemon

For each pool whose scope this daemon holds, the control module gathers VMs, operations, waves, counts and demand from the replicated state, the readiness of endpoints and the members' drained reports, and runs the decisions.

--- /dev/null
+++ b/packages/daemon/ctl_load.c
@@ -0,0 +1,159 @@
+/* Measured load of each service, from the stat records of all daemons. Every
+ * holder derives it from the log, so a new one has the same history. */
+#include "cw_ctl_maint.h"
+
+#include <stdlib.h>
+
+/* Requests that were refused held no slot; a service that refuses most of its
+ * requests is counted at most this many times its slots in use. */
+#define SHED_FACTOR_MAX 5.0
+
+const struct cw_load_entry *
+cw_loads_find(const struct cw_loads *l, const struct cw_name *service)
+{
+    for (size_t i = 0; i < l->count; i++) {
+        if (cw_name_eq(&l->items[i]->service, service)) {
+            return l->items[i];
+        }
+    }
+    return NULL;
+}
+
+static struct cw_load_entry *
+add_entry(struct cw_loads *l, const struct cw_name *service)
+{
+    struct cw_load_entry **grown =
+        realloc(l->items, (l->count + 1) * sizeof(struct cw_load_entry *));
+    if (grown == NULL) {
+        return NULL;
+    }
+    l->items = grown;
+    struct cw_load_entry *e = calloc(1, sizeof(*e));
+    if (e == NULL) {
+        return NULL;
+    }
+    e->service = *service;
+    l->items[l->count++] = e;
+    return e;
+}
+
+static void
+clear(struct cw_loads *l)
+{
+    for (size_t i = 0; i < l->count; i++) {
+        free(l->items[i]);
+    }
+    l->count = 0;
+    l->last = NULL;
+    l->covered_since = 0;
+    l->covered_to = 0;
+}
+
+void
+cw_loads_finish(struct cw_loads *l)
+{
+    clear(l);
+    free(l->items);
+    l->items = NULL;
+}
+
+static void
+take_service(struct cw_loads *l, const struct cw_daemon *d,
+             const struct cw_rec_stat *r, const struct cw_stat_service *s)
+{
+    const struct cw_doc_entry *doc =
+        cw_state_doc(&d->state, cw_name_str(&s->service));
+    struct cw_load_entry *e =
+        (struct cw_load_entry *)cw_loads_find(l, &s->service);
+    if (doc == NULL) {
+        return;
+    }
+    if (e == NULL) {
+        e = add_entry(l, &s->service);
+        if (e == NULL) {
+            return;
+        }
+        e->target = doc->doc.target;
+        e->window_ms = doc->doc.window_ms;
+        cw_budget_init(&e->budget, e->target, e->window_ms);
+        cw_trend_init(&e->demand);
+    }
+    cw_budget_add(&e->budget, r->to,
+                  (struct cw_counts){.ok = s->ok,
+                                     .failed = s->failed,
+                                     .shed = s->shed,
+                                     .unknown = s->unknown});
+    double served = (double)(s->ok + s->failed + s->unknown);
+    double factor =
+        served > 0 ? 1 + (double)s->shed / served : SHED_FACTOR_MAX;
+    factor = factor < SHED_FACTOR_MAX ? factor : SHED_FACTOR_MAX;
+    cw_trend_add(&e->demand, r->from, r->to, (double)s->busy_slot_ms * factor);
+}
+
+static void
+take_record(struct cw_loads *l, const struct cw_daemon *d,
+            const struct cw_rec_stat *r)
+{
+    if (r->from > l->covered_to + 3 * d->settings->stat_ms) {
+        l->covered_since = r->from;
+    }
+    l->covered_to = r->to > l->covered_to ? r->to : l->covered_to;
+    for (size_t i = 0; i < r->count; i++) {
+        take_service(l, d, r, &r->services[i]);
+    }
+}
+
+/* A budget was set up for another target or window than the document has. */
+static bool
+is_outdated(const struct cw_loads *l, const struct cw_daemon *d)
+{
+    for (size_t i = 0; i < l->count; i++) {
+        const struct cw_load_entry *e = l->items[i];
+        const struct cw_doc_entry *doc =
+            cw_state_doc(&d->state, cw_name_str(&e->service));
+        if (doc != NULL && (doc->doc.target != e->target ||
+                            doc->doc.window_ms != e->window_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+cw_loads_update(struct cw_loads *l, const struct cw_daemon *d)
+{
+    const struct cw_state *s = &d->state;
+    size_t from = s->stat_count;
+    if (is_outdated(l, d)) {
+        clear(l);
+    }
+    while (from > 0 && s->stats[from - 1] != l->last) {
+        from--;
+    }
+    if (from == 0) {
+        /* The last record is gone: the state was loaded anew. */
+        clear(l);
+    }
+    for (size_t i = from; i < s->stat_count; i++) {
+        take_record(l, d, s->stats[i]);
+    }
+    l->last = s->stat_count > 0 ? s->stats[s->stat_count - 1] : NULL;
+}
+
+bool
+cw_loads_cover(const struct cw_loads *l, const struct cw_daemon *d, cw_ms span)
+{
+    cw_ms wall = cw_daemon_wall(d);
+    return l->covered_to > 0 &&
+           wall - l->covered_to <= 3 * d->settings->stat_ms &&
+           wall - l->covered_since >= span;
+}
+
+double
+cw_loads_demand(const struct cw_loads *l, const struct cw_daemon *d,
+                const struct cw_name *service, cw_ms span)
+{
+    const struct cw_load_entry *e = cw_loads_find(l, service);
+    cw_ms end = cw_daemon_wall(d) - d->settings->stat_ms;
+    return e != NULL ? cw_trend_average(&e->demand, end, span) : 0;
+}
--- a/packages/daemon/ctl_table.c
+++ b/packages/daemon/ctl_table.c
@@ -1,7 +1,9 @@
+#include "cw_ctl_maint.h"
 #include "cw_daemon.h"
 
 /* Control modules in the order in which they run. A NULL name ends the table,
  * so that it may be empty. */
 const struct cw_ctl cw_ctl_table[] = {
+    {"maint", NULL, cw_ctl_maint_tick, cw_ctl_maint_finish},
     {NULL, NULL, NULL, NULL},
 };
