--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -120,6 +120,38 @@
     }
 }
 
+/* Control traffic by what it is for, besides that between daemons. */
+static void
+print_traffic(struct cw_daemon *d)
+{
+    const struct {
+        const char *labels;
+        const struct cw_traffic *t;
+    } parts[] = {
+        {"with=\"log\"", d->log_traffic},
+        {"with=\"vm_list\"", d->vmlist_traffic},
+        {"with=\"pool_control\"", d->pool_traffic},
+        {"with=\"workers\"", d->worker_traffic},
+        {"with=\"probes\"", &d->probe_traffic},
+    };
+
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        const struct cw_traffic *t = parts[i].t;
+        double *calls = cw_metrics_gauge(
+            &d->metrics, "cuminwalk_control_calls", parts[i].labels);
+        double *in = cw_metrics_gauge(
+            &d->metrics, "cuminwalk_control_bytes_in", parts[i].labels);
+        double *out = cw_metrics_gauge(
+            &d->metrics, "cuminwalk_control_bytes_out", parts[i].labels);
+
+        if (t != NULL && calls != NULL && in != NULL && out != NULL) {
+            *calls = (double)t->calls;
+            *in = (double)t->bytes_in;
+            *out = (double)t->bytes_out;
+        }
+    }
+}
+
 static void
 print_status(const struct cw_daemon *d, struct cw_buf *b)
 {
@@ -171,6 +203,7 @@
     set_gauge(d, "cuminwalk_requests_in_flight", d->front_in_flight);
     set_gauge(d, "cuminwalk_requests_waiting", (double)cw_dispatch_waiting(d));
     cw_peers_metrics(d);
+    print_traffic(d);
     for (size_t i = 0; i < cw_dispatch_services(d); i++) {
         struct cw_load l;
         char labels[96];
--- a/packages/daemon/cw_daemon.h
+++ b/packages/daemon/cw_daemon.h
@@ -25,6 +25,13 @@
     struct cw_vmlist_port vmlist;
     struct cw_pool_port pool;
     struct cw_worker_port worker;
+    /* Traffic of the clients behind the ports, for the metrics. A port without
+     * one is NULL. */
+    const struct cw_traffic *log_traffic;
+    const struct cw_traffic *vmlist_traffic;
+    const struct cw_traffic *pool_traffic;
+    const struct cw_traffic *worker_traffic;
+    struct cw_traffic probe_traffic;
 
     struct cw_follower *follower;
     struct cw_members *members;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -136,6 +136,10 @@
     cw_vmlist_client_port(&p->vmlist, &p->daemon.vmlist);
     cw_pool_client_port(&p->pool, &p->daemon.pool);
     cw_worker_client_port(&p->worker, &p->daemon.worker);
+    p->daemon.log_traffic = &p->log.http.traffic;
+    p->daemon.vmlist_traffic = &p->vmlist.http.traffic;
+    p->daemon.pool_traffic = &p->pool.http.traffic;
+    p->daemon.worker_traffic = &p->worker.http.traffic;
     return true;
 }
 
--- a/packages/daemon/probes.c
+++ b/packages/daemon/probes.c
@@ -89,7 +89,7 @@
     (void)msg;
     (void)headers;
     (void)count;
-    (void)rlen;
+    p->d->probe_traffic.bytes_in += rlen > 0 ? (uint64_t)rlen : 0;
     p->client = NULL;
     probe_end(p, err == NULL || eos ? status : 0);
     return err == NULL ? on_body : NULL;
@@ -111,6 +111,8 @@
         return NULL;
     }
     p->buf = h2o_iovec_init(p->head.ptr, p->head.len);
+    p->d->probe_traffic.calls++;
+    p->d->probe_traffic.bytes_out += p->head.len;
     *bufs = &p->buf;
     *count = 1;
     *method_is_head = 0;
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -148,6 +148,7 @@
         return -1;
     }
     h2o_buffer_t **in = &h2o->sock->input;
+    call->client->traffic.bytes_in += (*in)->size;
     cw_buf_add(&call->body, (*in)->bytes, (*in)->size);
     h2o_buffer_consume(in, (*in)->size);
     if (call->body.failed || call->body.len > ANSWER_MAX) {
@@ -169,8 +170,8 @@
     (void)msg;
     (void)headers;
     (void)num_headers;
-    (void)rlen;
     struct cw_http_call *call = h2o->data;
+    call->client->traffic.bytes_in += rlen > 0 ? (uint64_t)rlen : 0;
     if (err != NULL && err != h2o_http1client_error_is_eos) {
         end_call(call, CW_ERR_UNKNOWN, err);
         return NULL;
@@ -193,6 +194,8 @@
         return NULL;
     }
     call->sent = true;
+    call->client->traffic.calls++;
+    call->client->traffic.bytes_out += call->text.len;
     call->out = h2o_iovec_init(call->text.ptr, call->text.len);
     *bufs = &call->out;
     *count = 1;
--- a/packages/ports/cw_http_call.h
+++ b/packages/ports/cw_http_call.h
@@ -4,7 +4,7 @@
 #ifndef CW_HTTP_CALL_H
 #define CW_HTTP_CALL_H
 
-#include "cuminwalk.h"
+#include "cw_ports.h"
 
 #include <h2o.h>
 #include <h2o/http1client.h>
@@ -21,8 +21,9 @@
     h2o_http1client_ctx_t ctx;
     struct cw_name address;
     struct cw_http_call *calls; /* open ones */
-    bool ready;                 /* init succeeded and finish has not run */
-    char msg[CW_MSG_MAX];       /* of the last failed call */
+    struct cw_traffic traffic;
+    bool ready;           /* init succeeded and finish has not run */
+    char msg[CW_MSG_MAX]; /* of the last failed call */
 };
 
 struct cw_http_request {
--- a/packages/ports/cw_ports.h
+++ b/packages/ports/cw_ports.h
@@ -17,6 +17,14 @@
 
 #include "cuminwalk.h"
 
+/* What a client has sent and received since its start: HTTP heads and bodies,
+ * without the headers of TCP and IP. */
+struct cw_traffic {
+    uint64_t calls;
+    uint64_t bytes_out;
+    uint64_t bytes_in;
+};
+
 /* ---- log service ---------------------------------------------------- */
 
 struct cw_log_item {
