--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -319,11 +319,14 @@
         enum cw_status want;
     } cases[] = {
         {19, CW_OK},
-        {20, CW_ERR_UNAVAILABLE}, /* offset 19 is lost */
-        {22, CW_ERR_UNAVAILABLE}, /* part 1 is lost */
+        {20, CW_ERR_UNAVAILABLE}, /* offset 19 is no longer kept */
+        {19, CW_ERR_UNAVAILABLE}, /* part 1 is missing, see below */
     };
     for (size_t i = 0; i < COUNT(cases); i++) {
         srv.first = cases[i].first;
+        if (i == 2) {
+            memcpy(strstr(srv.records[20], "snap"), "gone", 4);
+        }
         struct cli_log l;
         struct cli c;
         char *text = NULL;
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -89,17 +89,17 @@
                      CW_APPLY_DUPLICATE);
     assert_int_equal(s.edit_count, 2);
     assert_int_equal(s.applied, 4);
-    /* The memory of ids is bounded and keeps the most recent ones. */
-    for (int i = 0; i < CW_SEEN_IDS; i++) {
+    /* The memory of ids is bounded and keeps all of the most recent ones. */
+    static const char snap[] =
+        "\"type\":\"snap\",\"cycle\":\"c\",\"as_of\":1,\"part\":1,"
+        "\"parts\":1,\"items\":[]";
+    for (int i = 0; i < 3 * CW_SEEN_IDS; i++) {
         char id[16];
-        snprintf(id, sizeof(id), "x%d", i);
-        (void)feed_id(&s, id, "d1",
-                      "\"type\":\"snap\",\"cycle\":\"c\","
-                      "\"as_of\":1,\"part\":1,\"parts\":1,"
-                      "\"items\":[]");
+        bool again = i >= 2 * CW_SEEN_IDS;
+        snprintf(id, sizeof(id), "x%d", again ? i - CW_SEEN_IDS : i);
+        assert_int_equal(feed_id(&s, id, "d1", snap),
+                         again ? CW_APPLY_DUPLICATE : CW_APPLY_REJECTED);
     }
-    assert_int_equal(feed_doc(&s, "x0", "ann", "stock", 2, ""),
-                     CW_APPLY_DUPLICATE);
     assert_int_equal(feed_doc(&s, "e1", "ann", "stock", 9, ""),
                      CW_APPLY_REJECTED);
     cw_state_finish(&s);
@@ -289,6 +289,14 @@
     assert_int_equal(cw_state_pool_size(&s, CW_LIT("q")), 1);
     assert_int_equal(cw_state_vm(&s, CW_LIT("v1"))->op.len, 0);
     assert_false(cw_state_op(&s, CW_LIT("o1"))->open);
+    /* The holder of a third pool must not take the VM either. */
+    feed_vm(&s, "v2", "p");
+    assert_int_equal(
+        feed(&s, holder_of(&s, "pool/z"),
+             "\"type\":\"op\",\"op\":\"o2\",\"kind\":\"move\",\"scope\":"
+             "\"pool/z\",\"vm\":\"v2\",\"from\":\"p\",\"to\":\"q\",\"step\":"
+             "\"draining\""),
+        CW_APPLY_REJECTED);
     cw_state_finish(&s);
 }
 
