Test the callers' side; end cut answers as cuts

The first run of the tests found three faults. h2o's client takes a connection that closes between two chunks for the end of the answer, and h2o's server closes the chunked coding properly even when told of an error, so a cut chunked answer reached the caller as a complete short one. The last chunk is now told apart by the bytes that came with it, and the caller's connection is shut down before anything more is written. The daemon also aborted at its end, in h2o's shutdown timer and by disposing of a connection pool twice.

The poll follows silent_ms, so that a shorter limit can be set.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard standins/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 TEST_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/test_%,$(wildcard tests/*.c)))
+TESTLIB := $(if $(TEST_OBJS),$(BUILD)/libcwtest.a)
 BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
 BENCH_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(filter-out bench/bench_%,$(wildcard bench/*.c)))
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
@@ -57,6 +58,10 @@
 $(NODELIB): $(NODE_OBJS) $(DAEMON_OBJS) $(CLI_OBJS)
 	rm -f $@ && ar rcs $@ $^
 
+# An archive, so that a program takes only the helpers that it uses.
+$(BUILD)/libcwtest.a: $(TEST_OBJS)
+	rm -f $@ && ar rcs $@ $^
+
 $(BUILD)/cuminwalkd: $(BUILD)/packages/daemon/main.o $(NODELIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
@@ -66,10 +71,10 @@
 $(BUILD)/standin-%: $(BUILD)/standins/%_main.o $(STANDIN_OBJS) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/test_%: $(BUILD)/tests/test_%.o $(TEST_OBJS) $(NODELIB) $(LIB)
+$(BUILD)/test_%: $(BUILD)/tests/test_%.o $(TESTLIB) $(NODELIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
-$(BUILD)/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJS) $(TEST_OBJS) $(NODELIB) $(LIB)
+$(BUILD)/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJS) $(TESTLIB) $(NODELIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/example-%: $(BUILD)/examples/%.o $(LIB)
--- a/packages/daemon/follower.c
+++ b/packages/daemon/follower.c
@@ -7,9 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The log answers an idle poll after this time, so that an answered read
- * confirms the membership well within silent_ms. */
-#define POLL_MS 1000
+/* The log answers an idle poll after this share of silent_ms, so that an
+ * answered read confirms the membership well within it. */
+#define POLL_SHARE 3
+#define POLL_MAX_MS 1000
 #define READ_MAX 500
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 1000
@@ -280,9 +281,15 @@
 read_start(struct cw_follower *f)
 {
     struct cw_daemon *d = f->d;
-    /* Until the end was reached nobody waits for new records. */
-    cw_ms wait = f->synced || f->scanning ? POLL_MS : 0;
+    cw_ms wait = d->settings->silent_ms / POLL_SHARE;
 
+    if (wait > POLL_MAX_MS) {
+        wait = POLL_MAX_MS;
+    }
+    if (!f->synced && !f->scanning) {
+        /* Until the end was reached nobody waits for new records. */
+        wait = 0;
+    }
     f->reading = true;
     f->began = cw_daemon_now(d);
     d->log.read(d->log.ctx, "config", f->next, READ_MAX, wait, on_read, f);
--- a/packages/daemon/front.c
+++ b/packages/daemon/front.c
@@ -62,29 +62,45 @@
     h2o_start_response(req, &q->gen);
 }
 
+/* Ends a cut answer. h2o would close the chunked coding properly, so the
+ * connection is shut down before it writes anything more. */
+static void
+front_cut(struct front_req *q)
+{
+    h2o_socket_t *sock = q->req->conn->callbacks->get_socket(q->req->conn);
+
+    q->req->http1_is_persistent = 0;
+    (void)shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+    q->inflight = true;
+    h2o_send(q->req, NULL, 0, H2O_SEND_STATE_ERROR);
+}
+
 /* Hands what has arrived to h2o. May free q when the answer ended. */
 static void
 front_push(struct front_req *q)
 {
     struct cw_request *r = &q->r;
-    h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
     struct cw_buf empty = q->sending;
     h2o_iovec_t vec;
+    bool last;
 
     if (q->inflight || (r->out.len == 0 && !r->ended)) {
         return;
     }
+    if (r->ended && !r->complete && r->out.len == 0) {
+        front_cut(q);
+        return;
+    }
     q->sending = r->out;
     cw_buf_clear(&empty);
     r->out = empty;
     r->taken = q->sending.len;
-    if (r->ended) {
-        state = r->complete ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
-    }
+    last = r->ended && r->complete;
     q->inflight = true;
     q->sent_at = cw_daemon_now(r->d);
     vec = h2o_iovec_init(q->sending.ptr, q->sending.len);
-    h2o_send(q->req, &vec, vec.len != 0 ? 1 : 0, state);
+    h2o_send(q->req, &vec, vec.len != 0 ? 1 : 0,
+             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
 static void
--- a/packages/daemon/http_server.c
+++ b/packages/daemon/http_server.c
@@ -245,6 +245,8 @@
         uv_run(s->loop, UV_RUN_ONCE);
     }
     if (s->conn_count == 0) {
+        /* A requested shutdown leaves this timer running for HTTP/2. */
+        h2o_timeout_unlink(&s->ctx.http2._graceful_shutdown_timeout);
         h2o_context_dispose(&s->ctx);
         h2o_config_dispose(&s->conf);
     }
--- a/packages/daemon/runners.c
+++ b/packages/daemon/runners.c
@@ -267,7 +267,7 @@
         runner_retire(d, all->items[i]);
     }
     all->count = 0;
-    reap_retired(all, 0);
+    reap_retired(all, 1);
     for (int i = 0; i < 10; i++) {
         uv_run(d->loop, UV_RUN_NOWAIT);
     }
--- a/packages/daemon/upstream.c
+++ b/packages/daemon/upstream.c
@@ -29,6 +29,7 @@
     cw_ms began;
     cw_ms progress; /* last time the body moved */
     cw_ms took;     /* until the head */
+    bool chunked;   /* the answer's coding */
     bool paused;
     bool in_body; /* h2o is inside our body callback */
     bool gone;    /* the caller went away inside that callback */
@@ -120,9 +121,15 @@
         }
     }
     if (err != NULL) {
+        bool whole = err == h2o_http1client_error_is_eos;
+
+        /* h2o takes a connection that closes between two chunks for the end.
+         * The real end comes with bytes that were read, the last chunk. */
+        if (u->chunked && client->sock->bytes_read == 0) {
+            whole = false;
+        }
         u->client = NULL;
-        upstream_end(u, err == h2o_http1client_error_is_eos ? CW_TRY_DONE
-                                                            : CW_TRY_CUT);
+        upstream_end(u, whole ? CW_TRY_DONE : CW_TRY_CUT);
         return -1;
     }
     if (cw_request_held(u->r) >= CW_HELD_PAUSE) {
@@ -237,6 +244,7 @@
         return NULL;
     }
     u->phase = PHASE_BODY;
+    u->chunked = !eos && !head.has_length;
     u->took = cw_daemon_now(u->d) - u->began;
     u->progress = cw_daemon_now(u->d);
     head.status = (unsigned)status;
--- /dev/null
+++ b/tests/daemon_util.c
@@ -0,0 +1,483 @@
+#include "daemon_util.h"
+
+#include "cw_request.h"
+#include "cw_services.h"
+
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <cmocka.h>
+
+#define BUF_SIZE 65536
+
+/* A connection of the endpoint, or of a caller. */
+struct du_conn {
+    uv_tcp_t tcp; /* first, so that the handle is the connection */
+    uv_connect_t connect;
+    uv_write_t write;
+    struct du *u;
+    struct du_conn *next;
+    struct cw_buf in;
+    struct cw_str request; /* caller */
+    bool caller;
+    bool ended;
+    char buf[BUF_SIZE];
+};
+
+static void
+on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+    struct du_conn *c = (struct du_conn *)h;
+
+    (void)size;
+    *buf = uv_buf_init(c->buf, sizeof(c->buf));
+}
+
+static void
+on_closed(uv_handle_t *h)
+{
+    struct du_conn *c = (struct du_conn *)h;
+
+    cw_buf_finish(&c->in);
+    free(c);
+}
+
+static void
+conn_close(struct du_conn *c)
+{
+    for (struct du_conn **p = &c->u->conns; *p != NULL; p = &(*p)->next) {
+        if (*p == c) {
+            *p = c->next;
+            break;
+        }
+    }
+    if (uv_is_closing((uv_handle_t *)&c->tcp) == 0) {
+        uv_close((uv_handle_t *)&c->tcp, on_closed);
+    }
+}
+
+static struct du_conn *
+conn_new(struct du *u)
+{
+    struct du_conn *c = calloc(1, sizeof(*c));
+
+    assert_non_null(c);
+    c->u = u;
+    cw_buf_init(&c->in);
+    assert_int_equal(uv_tcp_init(&u->loop, &c->tcp), 0);
+    c->next = u->conns;
+    u->conns = c;
+    return c;
+}
+
+/* ---- endpoint -------------------------------------------------------- */
+
+static void
+on_answered(uv_write_t *w, int status)
+{
+    struct du_conn *c = w->data;
+
+    (void)status;
+    if (c->ended) {
+        conn_close(c);
+    }
+}
+
+static void
+endpoint_write(struct du_conn *c, const char *bytes, size_t len, bool end)
+{
+    uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned)len);
+
+    c->ended = end;
+    c->write.data = c;
+    (void)uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_answered);
+}
+
+static void
+endpoint_answer(struct du_conn *c)
+{
+    static const char ok[] = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    struct du *u = c->u;
+    const char *bytes = u->script.answer;
+    size_t len = u->script.len;
+    bool end = u->script.close;
+
+    if (cw_str_starts(cw_buf_str(&c->in), CW_LIT("GET /ready "))) {
+        bytes = u->script.ready != NULL ? u->script.ready : ok;
+        len = strlen(bytes);
+        end = false;
+    }
+    else {
+        u->endpoint_requests++;
+        cw_buf_clear(&u->seen);
+        cw_buf_add_str(&u->seen, cw_buf_str(&c->in));
+    }
+    cw_buf_clear(&c->in);
+    if (bytes == NULL) {
+        if (end) {
+            conn_close(c);
+        }
+        return;
+    }
+    endpoint_write(c, bytes, len, end);
+}
+
+/* True when the header block and as many bytes as it announces are there. */
+static bool
+request_whole(const struct cw_buf *b)
+{
+    const char *end = memmem(b->ptr, b->len, "\r\n\r\n", 4);
+    const char *length;
+
+    if (end == NULL) {
+        return false;
+    }
+    length = memmem(b->ptr, (size_t)(end - b->ptr), "content-length: ", 16);
+    if (length == NULL) {
+        return true;
+    }
+    return b->len >=
+           (size_t)(end + 4 - b->ptr) + strtoul(length + 16, NULL, 10);
+}
+
+static void
+on_endpoint_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+    struct du_conn *c = (struct du_conn *)s;
+
+    if (n < 0) {
+        conn_close(c);
+        return;
+    }
+    cw_buf_add(&c->in, buf->base, (size_t)n);
+    if (request_whole(&c->in)) {
+        endpoint_answer(c);
+    }
+}
+
+static void
+on_endpoint_accept(uv_stream_t *s, int status)
+{
+    struct du *u = s->data;
+    struct du_conn *c = conn_new(u);
+
+    assert_int_equal(status, 0);
+    assert_int_equal(uv_accept(s, (uv_stream_t *)&c->tcp), 0);
+    if (u->script.refuse) {
+        conn_close(c);
+        return;
+    }
+    assert_int_equal(
+        uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_endpoint_read), 0);
+}
+
+/* Listens on a port that the system picks, and returns it. */
+static int
+listen_any(uv_loop_t *loop, uv_tcp_t *tcp, uv_connection_cb cb)
+{
+    struct sockaddr_in sa;
+    struct sockaddr_storage got;
+    int len = sizeof(got);
+
+    assert_int_equal(uv_tcp_init(loop, tcp), 0);
+    assert_int_equal(uv_ip4_addr("127.0.0.1", 0, &sa), 0);
+    assert_int_equal(uv_tcp_bind(tcp, (struct sockaddr *)&sa, 0), 0);
+    if (cb != NULL) {
+        assert_int_equal(uv_listen((uv_stream_t *)tcp, 64, cb), 0);
+    }
+    assert_int_equal(uv_tcp_getsockname(tcp, (struct sockaddr *)&got, &len),
+                     0);
+    return ntohs(((struct sockaddr_in *)&got)->sin_port);
+}
+
+/* ---- ports ----------------------------------------------------------- */
+
+static void
+list_get(void *ctx, uint64_t since,
+         void (*done)(void *arg, enum cw_status s, uint64_t version,
+                      size_t count, const struct cw_vm_info *vms),
+         void *arg)
+{
+    /* The VM comes from the log; a list that does not answer is away. */
+    (void)ctx;
+    (void)since;
+    (void)done;
+    (void)arg;
+}
+
+static void
+on_pump(uv_timer_t *t)
+{
+    struct du *u = t->data;
+
+    du_log_pump(&u->log);
+}
+
+/* ---- daemon ---------------------------------------------------------- */
+
+static void
+set_name(struct cw_name *n, const char *text)
+{
+    assert_int_equal(cw_name_set(n, cw_str_from(text)), CW_OK);
+}
+
+/* A port that is free now; the daemon listens on it right afterwards. */
+static void
+free_address(struct du *u, struct cw_name *n)
+{
+    uv_tcp_t tcp;
+    char text[32];
+
+    (void)snprintf(text, sizeof(text), "127.0.0.1:%d",
+                   listen_any(&u->loop, &tcp, NULL));
+    uv_close((uv_handle_t *)&tcp, NULL);
+    (void)uv_run(&u->loop, UV_RUN_NOWAIT);
+    set_name(n, text);
+}
+
+static void
+fill_settings(struct du *u)
+{
+    struct cw_settings *s = &u->settings;
+
+    set_name(&s->daemon, "d1");
+    set_name(&s->dc, "dc1");
+    free_address(u, &s->listen);
+    free_address(u, &s->peer_listen);
+    free_address(u, &s->admin_listen);
+    s->heartbeat_ms = 1000;
+    /* A new daemon's slots wait for this long. */
+    s->silent_ms = 900;
+    s->slot_guard_ms = 1;
+    s->probe_ms = 20;
+    s->stat_ms = CW_HOUR;
+    s->drain_ms = DU_WAIT_MS;
+    s->key_streams = 1;
+    s->key_window_ms = 600000;
+    s->cells = 1;
+    s->seed = 1;
+}
+
+static void
+fill_log(struct du *u, const char *doc_extra)
+{
+    struct cw_buf doc;
+    struct cw_buf rec;
+
+    cw_buf_init(&doc);
+    cw_buf_addf(&doc,
+                "{\"service\":\"stock\",\"team\":\"t\",\"capacity\":"
+                "{\"vms_min\":1,\"vms_max\":2},"
+                "\"availability\":{\"target\":0.99}%s}",
+                doc_extra);
+    cw_buf_init(&rec);
+    cw_buf_addf(&rec, "{\"type\":\"doc\",\"id\":\"r1\",\"by\":\"op\","
+                      "\"time\":1,\"service\":\"stock\",\"base\":0,\"doc\":");
+    cw_buf_add_json(&rec, cw_buf_str(&doc));
+    cw_buf_add(&rec, "}", 2);
+    du_log_add(&u->log, "config", rec.ptr);
+    cw_buf_clear(&rec);
+    cw_buf_addf(&rec,
+                "{\"type\":\"vm\",\"id\":\"r2\",\"by\":\"d0\",\"time\":1,"
+                "\"vm\":\"v1\",\"incarnation\":1,\"pool\":\"stock\","
+                "\"dc\":\"dc1\",\"rack\":\"r1\",\"address\":\"%s\"}",
+                u->endpoint_address);
+    cw_buf_add(&rec, "", 1);
+    du_log_add(&u->log, "config", rec.ptr);
+    cw_buf_finish(&rec);
+    cw_buf_finish(&doc);
+}
+
+static bool
+slot_free(void *arg)
+{
+    struct du *u = arg;
+    struct cw_load load;
+
+    if (cw_dispatch_services(&u->d) == 0) {
+        return false;
+    }
+    cw_dispatch_load(&u->d, 0, cw_daemon_now(&u->d), &load);
+    return load.free_slots > 0;
+}
+
+void
+du_start(struct du *u, const char *doc_extra)
+{
+    memset(u, 0, sizeof(*u));
+    u->log.u = u;
+    cw_buf_init(&u->seen);
+    cw_logger_setup(CW_ERROR, stderr, "test");
+    (void)signal(SIGPIPE, SIG_IGN);
+    assert_int_equal(uv_loop_init(&u->loop), 0);
+    u->endpoint.data = u;
+    (void)snprintf(u->endpoint_address, sizeof(u->endpoint_address),
+                   "127.0.0.1:%d",
+                   listen_any(&u->loop, &u->endpoint, on_endpoint_accept));
+    fill_settings(u);
+    fill_log(u, doc_extra);
+    u->d.loop = &u->loop;
+    u->d.clock = cw_clock_system();
+    u->d.settings = &u->settings;
+    du_log_port(&u->log, &u->d.log);
+    u->d.vmlist.get = list_get;
+    assert_int_equal(uv_timer_init(&u->loop, &u->pump), 0);
+    u->pump.data = u;
+    assert_int_equal(uv_timer_start(&u->pump, on_pump, 1, 1), 0);
+    assert_int_equal(uv_timer_init(&u->loop, &u->limit), 0);
+    if (cw_daemon_start(&u->d) != CW_OK) {
+        fail_msg("%s", u->d.msg);
+    }
+    du_until(u, slot_free, u);
+}
+
+void
+du_stop(struct du *u)
+{
+    u->d.stopped = true;
+    cw_daemon_finish(&u->d);
+    uv_close((uv_handle_t *)&u->pump, NULL);
+    uv_close((uv_handle_t *)&u->limit, NULL);
+    uv_close((uv_handle_t *)&u->endpoint, NULL);
+    while (u->conns != NULL) {
+        conn_close(u->conns);
+    }
+    for (int i = 0; i < 100 && uv_loop_close(&u->loop) != 0; i++) {
+        (void)uv_run(&u->loop, UV_RUN_NOWAIT);
+    }
+    du_log_finish(&u->log);
+    cw_buf_finish(&u->seen);
+}
+
+static void
+on_limit(uv_timer_t *t)
+{
+    struct du *u = t->data;
+
+    u->late = true;
+}
+
+void
+du_until(struct du *u, bool (*cond)(void *arg), void *arg)
+{
+    u->late = false;
+    u->limit.data = u;
+    assert_int_equal(uv_timer_start(&u->limit, on_limit, DU_WAIT_MS, 0), 0);
+    while (!cond(arg)) {
+        (void)uv_run(&u->loop, UV_RUN_ONCE);
+        if (u->late) {
+            fail_msg("the expected event did not come");
+        }
+    }
+    (void)uv_timer_stop(&u->limit);
+}
+
+/* ---- caller ---------------------------------------------------------- */
+
+static void
+on_caller_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+    struct du_conn *c = (struct du_conn *)s;
+
+    if (n < 0) {
+        c->ended = true;
+        (void)uv_read_stop(s);
+        return;
+    }
+    cw_buf_add(&c->in, buf->base, (size_t)n);
+}
+
+static void
+on_sent(uv_write_t *w, int status)
+{
+    (void)w;
+    (void)status;
+}
+
+static void
+on_connected(uv_connect_t *req, int status)
+{
+    struct du_conn *c = req->data;
+    uv_buf_t buf =
+        uv_buf_init((char *)c->request.ptr, (unsigned)c->request.len);
+
+    assert_int_equal(status, 0);
+    assert_int_equal(
+        uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_caller_read), 0);
+    (void)uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_sent);
+}
+
+static bool
+caller_ended(void *arg)
+{
+    return ((struct du_conn *)arg)->ended;
+}
+
+void
+du_exchange(struct du *u, struct cw_str request, struct cw_buf *answer)
+{
+    struct du_conn *c = conn_new(u);
+    const char *colon = strchr(u->settings.listen.text, ':');
+    struct sockaddr_in sa;
+
+    c->caller = true;
+    c->request = request;
+    c->connect.data = c;
+    assert_int_equal(
+        uv_ip4_addr("127.0.0.1", (int)strtol(colon + 1, NULL, 10), &sa), 0);
+    assert_int_equal(uv_tcp_connect(&c->connect, &c->tcp,
+                                    (struct sockaddr *)&sa, on_connected),
+                     0);
+    du_until(u, caller_ended, c);
+    cw_buf_clear(answer);
+    cw_buf_add_str(answer, cw_buf_str(&c->in));
+    conn_close(c);
+}
+
+unsigned
+du_status(const struct cw_buf *answer)
+{
+    if (answer->len < 12 || memcmp(answer->ptr, "HTTP/1.1 ", 9) != 0) {
+        return 0;
+    }
+    return (unsigned)strtoul(answer->ptr + 9, NULL, 10);
+}
+
+bool
+du_header(const struct cw_buf *answer, const char *line)
+{
+    size_t len = strlen(line);
+    size_t at = 0;
+
+    while (at + len + 2 <= answer->len) {
+        const char *nl = memmem(answer->ptr + at, answer->len - at, "\r\n", 2);
+        size_t end;
+
+        if (nl == NULL || nl == answer->ptr + at) {
+            return false;
+        }
+        end = (size_t)(nl - answer->ptr);
+        if (end - at == len && strncasecmp(answer->ptr + at, line, len) == 0) {
+            return true;
+        }
+        at = end + 2;
+    }
+    return false;
+}
+
+struct cw_str
+du_body(const struct cw_buf *answer)
+{
+    const char *end = memmem(answer->ptr, answer->len, "\r\n\r\n", 4);
+    struct cw_str none = {NULL, 0};
+
+    if (end == NULL) {
+        return none;
+    }
+    end += 4;
+    return (struct cw_str){end, answer->len - (size_t)(end - answer->ptr)};
+}
--- /dev/null
+++ b/tests/test_front.c
@@ -0,0 +1,406 @@
+/* The callers' side of the daemon: what is refused, what is passed on, and
+ * what a caller is told when an endpoint fails. */
+#include "daemon_util.h"
+
+#include "cw_request.h"
+
+#include <setjmp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static int
+setup(void **state)
+{
+    struct du *u = calloc(1, sizeof(*u));
+
+    assert_non_null(u);
+    du_start(u, "");
+    *state = u;
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    du_stop(*state);
+    free(*state);
+    return 0;
+}
+
+static void
+script(struct du *u, const char *answer, bool end)
+{
+    memset(&u->script, 0, sizeof(u->script));
+    u->script.answer = answer;
+    u->script.len = answer != NULL ? strlen(answer) : 0;
+    u->script.close = end;
+}
+
+#define HEAD_END "host: a\r\nconnection: close\r\n\r\n"
+
+struct refusal {
+    const char *name;
+    const char *request;
+    unsigned status;
+    const char *code;
+};
+
+/* Guards against two readers of one request that disagree where it ends, and
+ * against a request that is refused without the caller being told "not run".
+ */
+static void
+test_refused(void **state)
+{
+    static const struct refusal cases[] = {
+        {"length and coding",
+         "POST /stock/a HTTP/1.1\r\ncontent-length: 3\r\n"
+         "transfer-encoding: chunked\r\n" HEAD_END "0\r\n\r\n",
+         400, "bad_framing"},
+        {"two lengths",
+         "POST /stock/a HTTP/1.1\r\ncontent-length: 3\r\n"
+         "content-length: 3\r\n" HEAD_END "abc",
+         400, "bad_framing"},
+        {"folded line",
+         "GET /stock/a HTTP/1.1\r\nx-a: 1\r\n content-length: 3\r\n" HEAD_END,
+         400, "bad_framing"},
+        {"unknown service", "GET /none/a HTTP/1.1\r\n" HEAD_END, 404,
+         "unknown_service"},
+        {"no service", "GET / HTTP/1.1\r\n" HEAD_END, 400, "bad_request"},
+        {"bad name", "GET /%73tock/a HTTP/1.1\r\n" HEAD_END, 400,
+         "bad_request"},
+        {"old version", "GET /stock/a HTTP/1.0\r\nhost: a\r\n\r\n", 505,
+         "http_version"},
+        {"deadline",
+         "GET /stock/a HTTP/1.1\r\ncuminwalk-deadline-ms: 0\r\n" HEAD_END, 400,
+         "bad_request"},
+        {"priority",
+         "GET /stock/a HTTP/1.1\r\ncuminwalk-priority: high\r\n" HEAD_END, 400,
+         "bad_request"},
+        {"body above the limit",
+         "POST /stock/a HTTP/1.1\r\ncontent-length: 1048577\r\n" HEAD_END, 413,
+         "bad_request"},
+    };
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    script(u, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", false);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char code[64];
+
+        du_exchange(u, cw_str_from(cases[i].request), &answer);
+        (void)snprintf(code, sizeof(code), "{\"code\":\"%s\"", cases[i].code);
+        if (du_status(&answer) != cases[i].status ||
+            !du_header(&answer, "cuminwalk-outcome: not-run") ||
+            !cw_str_starts(du_body(&answer), cw_str_from(code))) {
+            fail_msg("%s: %.*s", cases[i].name, CW_FMT(cw_buf_str(&answer)));
+        }
+    }
+    assert_int_equal(u->endpoint_requests, 0);
+    cw_buf_finish(&answer);
+}
+
+/* Guards against header blocks that hold memory beyond the limit. */
+static void
+test_header_limit(void **state)
+{
+    static const struct {
+        size_t filler;
+        unsigned status;
+    } cases[] = {{15 * 1024, 200}, {17 * 1024, 431}};
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    script(u, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", false);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct cw_buf request;
+
+        cw_buf_init(&request);
+        cw_buf_addf(&request, "GET /stock/a HTTP/1.1\r\nx-fill: ");
+        for (size_t k = 0; k < cases[i].filler; k++) {
+            cw_buf_add(&request, "x", 1);
+        }
+        cw_buf_addf(&request, "\r\n" HEAD_END);
+        du_exchange(u, cw_buf_str(&request), &answer);
+        assert_int_equal(du_status(&answer), cases[i].status);
+        cw_buf_finish(&request);
+    }
+    cw_buf_finish(&answer);
+}
+
+static bool
+seen(const struct du *u, const char *text)
+{
+    return memmem(u->seen.ptr, u->seen.len, text, strlen(text)) != NULL;
+}
+
+/* Guards against headers of one connection that reach the next one, and
+ * against a caller that forges the daemon's own headers. */
+static void
+test_hop_by_hop(void **state)
+{
+    static const char request[] =
+        "POST /stock/a/b?c=1 HTTP/1.1\r\nhost: shop\r\n"
+        "connection: close, x-private\r\nx-private: 1\r\nte: trailers\r\n"
+        "keep-alive: timeout=5\r\nupgrade: h2c\r\nproxy-connection: close\r\n"
+        "x-request-id: mine\r\ncuminwalk-request-id: forged\r\n"
+        "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    static const char *const gone[] = {
+        "x-private",         "\r\nte:",          "keep-alive", "upgrade",
+        "transfer-encoding", "proxy-connection", "forged",     "connection:"};
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    script(u,
+           "HTTP/1.1 201 Created\r\ncontent-length: 2\r\n"
+           "connection: keep-alive, x-inner\r\nx-inner: 1\r\n"
+           "keep-alive: timeout=9\r\nproxy-authenticate: b\r\nx-end: 1\r\n"
+           "cuminwalk-outcome: not-run\r\n\r\nok",
+           false);
+    du_exchange(u, cw_str_from(request), &answer);
+    assert_int_equal(du_status(&answer), 201);
+    assert_true(cw_str_eq(du_body(&answer), CW_LIT("ok")));
+    assert_true(du_header(&answer, "x-end: 1"));
+    assert_true(du_header(&answer, "cuminwalk-outcome: run"));
+    assert_false(du_header(&answer, "x-inner: 1"));
+    assert_false(du_header(&answer, "keep-alive: timeout=9"));
+    assert_false(du_header(&answer, "proxy-authenticate: b"));
+    assert_false(du_header(&answer, "cuminwalk-outcome: not-run"));
+    for (size_t i = 0; i < sizeof(gone) / sizeof(gone[0]); i++) {
+        if (seen(u, gone[i])) {
+            fail_msg("%s reached the endpoint", gone[i]);
+        }
+    }
+    assert_true(seen(u, "POST /a/b?c=1 HTTP/1.1\r\n"));
+    assert_true(seen(u, "host: shop\r\n"));
+    assert_true(seen(u, "x-request-id: mine\r\n"));
+    assert_true(seen(u, "content-length: 5\r\n"));
+    assert_true(seen(u, "\r\n\r\nabcde"));
+    cw_buf_finish(&answer);
+}
+
+struct failure {
+    const char *name;
+    const char *answer;
+    bool close;
+    unsigned status;
+    const char *outcome;
+    unsigned runs; /* requests at the endpoint */
+};
+
+/* Guards against "not run" for a request that an endpoint may have run, and
+ * against a second send of a request that is not idempotent. */
+static void
+test_endpoint_failures(void **state)
+{
+    static const struct failure cases[] = {
+        {"closes without an answer", NULL, true, 502, "unknown", 1},
+        {"closes in the head", "HTTP/1.1 200 O", true, 502, "unknown", 1},
+        {"not HTTP", "hello\r\n\r\n", true, 502, "unknown", 1},
+        {"no length, no coding", "HTTP/1.1 200 OK\r\n\r\nabc", true, 502,
+         "unknown", 1},
+        {"refuses",
+         "HTTP/1.1 503 Busy\r\ncuminwalk-refused: full\r\n"
+         "content-length: 0\r\n\r\n",
+         false, 503, "not-run", 3},
+        {"own 503", "HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno", false,
+         503, "run", 1},
+        {"own 404", "HTTP/1.1 404 None\r\ncontent-length: 2\r\n\r\nno", false,
+         404, "run", 1},
+    };
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char outcome[64];
+
+        script(u, cases[i].answer, cases[i].close);
+        u->endpoint_requests = 0;
+        du_exchange(u,
+                    CW_LIT("POST /stock/a HTTP/1.1\r\n"
+                           "content-length: 1\r\n" HEAD_END "x"),
+                    &answer);
+        (void)snprintf(outcome, sizeof(outcome), "cuminwalk-outcome: %s",
+                       cases[i].outcome);
+        if (du_status(&answer) != cases[i].status ||
+            !du_header(&answer, outcome) ||
+            u->endpoint_requests != cases[i].runs) {
+            fail_msg("%s: %u requests: %.*s", cases[i].name,
+                     u->endpoint_requests, CW_FMT(cw_buf_str(&answer)));
+        }
+    }
+    cw_buf_finish(&answer);
+}
+
+/* Guards against a connect failure that is reported as anything but "not run".
+ */
+static void
+test_connect_failure(void **state)
+{
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    /* The probe's connection stays open; requests that need a new one find
+     * nobody listening. */
+    uv_close((uv_handle_t *)&u->endpoint, NULL);
+    script(u, NULL, true);
+    du_exchange(u,
+                CW_LIT("POST /stock/a HTTP/1.1\r\n"
+                       "content-length: 1\r\n" HEAD_END "x"),
+                &answer);
+    /* An idle connection of a probe may have carried the request. */
+    if (u->endpoint_requests == 0) {
+        assert_int_equal(du_status(&answer), 503);
+        assert_true(du_header(&answer, "cuminwalk-outcome: not-run"));
+    }
+    else {
+        assert_true(du_header(&answer, "cuminwalk-outcome: unknown"));
+    }
+    assert_int_equal(uv_tcp_init(&u->loop, &u->endpoint), 0);
+    cw_buf_finish(&answer);
+}
+
+struct cut {
+    const char *name;
+    const char *answer;
+    const char *announced; /* header line that the caller sees */
+    const char *body;      /* what of the body arrives at most */
+};
+
+/* Guards against a cut answer that reads as a complete short one (R3). */
+static void
+test_cut(void **state)
+{
+    static const struct cut cases[] = {
+        {"length", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabcd",
+         "content-length: 10", "abcd"},
+        {"chunked",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+         "4\r\nabcd\r\n",
+         "transfer-encoding: chunked", NULL},
+        {"in a chunk",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+         "8\r\nabcd",
+         "transfer-encoding: chunked", NULL},
+    };
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct cw_str body;
+
+        script(u, cases[i].answer, true);
+        du_exchange(u, CW_LIT("GET /stock/a HTTP/1.1\r\n" HEAD_END), &answer);
+        body = du_body(&answer);
+        assert_int_equal(du_status(&answer), 200);
+        assert_true(du_header(&answer, cases[i].announced));
+        if (cases[i].body != NULL) {
+            assert_true(body.len <= strlen(cases[i].body));
+        }
+        else if (memmem(body.ptr, body.len, "0\r\n\r\n", 5) != NULL) {
+            fail_msg("%s: ends as if complete: %.*s", cases[i].name,
+                     CW_FMT(body));
+        }
+    }
+    cw_buf_finish(&answer);
+}
+
+struct whole {
+    const char *name;
+    const char *method;
+    const char *answer;
+    unsigned status;
+    const char *body;
+};
+
+/* Guards against answers that lose or gain bytes for want of framing. */
+static void
+test_whole(void **state)
+{
+    static const struct whole cases[] = {
+        {"length", "GET", "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabcd",
+         200, "abcd"},
+        {"chunked", "GET",
+         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n",
+         200, "4\r\nabcd\r\n0\r\n\r\n"},
+        {"empty", "GET", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 200,
+         ""},
+        {"no content", "DELETE", "HTTP/1.1 204 None\r\n\r\n", 204, ""},
+        {"head", "HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", 200,
+         ""},
+    };
+    struct du *u = *state;
+    struct cw_buf answer;
+
+    cw_buf_init(&answer);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char request[128];
+
+        script(u, cases[i].answer, false);
+        (void)snprintf(request, sizeof(request),
+                       "%s /stock/a HTTP/1.1\r\n" HEAD_END, cases[i].method);
+        du_exchange(u, cw_str_from(request), &answer);
+        if (du_status(&answer) != cases[i].status ||
+            !cw_str_eq(du_body(&answer), cw_str_from(cases[i].body))) {
+            fail_msg("%s: %.*s", cases[i].name, CW_FMT(cw_buf_str(&answer)));
+        }
+    }
+    cw_buf_finish(&answer);
+}
+
+/* Guards against the loss of bytes under backpressure: the answer is many
+ * times what the daemon may hold. */
+static void
+test_large(void **state)
+{
+    static const size_t size = 4 * 1024 * 1024;
+    struct du *u = *state;
+    struct cw_buf bytes;
+    struct cw_buf answer;
+    struct cw_str body;
+
+    cw_buf_init(&bytes);
+    cw_buf_init(&answer);
+    cw_buf_addf(&bytes, "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n\r\n",
+                size);
+    for (size_t i = 0; i < size; i++) {
+        char byte = (char)('a' + i % 23);
+
+        cw_buf_add(&bytes, &byte, 1);
+    }
+    memset(&u->script, 0, sizeof(u->script));
+    u->script.answer = bytes.ptr;
+    u->script.len = bytes.len;
+    du_exchange(u, CW_LIT("GET /stock/a HTTP/1.1\r\n" HEAD_END), &answer);
+    body = du_body(&answer);
+    assert_int_equal(body.len, size);
+    assert_memory_equal(body.ptr, bytes.ptr + bytes.len - size, size);
+    cw_buf_finish(&bytes);
+    cw_buf_finish(&answer);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_refused, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_header_limit, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_hop_by_hop, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_endpoint_failures, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_connect_failure, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_cut, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_whole, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_large, setup, teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
