Give a peer's slot back when a forwarded request ended

A forwarded request took one of the slots that the peer announced until its next heartbeat, so a daemon forwarded at most the announced number a second, however short the requests were. The slot is now given back at the end of the request, and taken off when the peer had none.

--- a/packages/daemon/cw_modules.h
+++ b/packages/daemon/cw_modules.h
@@ -77,9 +77,11 @@
  * when none showed any. */
 struct cw_peer *cw_peers_pick(struct cw_daemon *d, struct cw_str service,
                               cw_ms now);
-/* Takes one of the free slots that a peer announced, until its next
- * heartbeat. */
+/* Takes one of the free slots that a peer announced, and gives it back when
+ * the forwarded request ended; none_free: the peer had none after all. */
 void cw_peer_take_slot(struct cw_peer *p, struct cw_str service);
+void cw_peer_give_slot(struct cw_peer *p, struct cw_str service,
+                       bool none_free);
 /* Members other than this daemon of which a heartbeat from at least since
  * confirms this incarnation; same_dc counts those in this data centre. */
 size_t cw_peers_confirming(const struct cw_daemon *d, cw_ms since,
--- a/packages/daemon/forward.c
+++ b/packages/daemon/forward.c
@@ -55,6 +55,7 @@
     struct cw_fwd_out *o = r->exec_ctx;
 
     send_cancel(o);
+    cw_peer_give_slot(o->p, cw_name_str(&r->service), false);
     out_free(o);
 }
 
@@ -250,10 +251,16 @@
 {
     struct cw_request *r = o->r;
 
+    bool none_free = strcmp(m->code, "no_slot") == 0;
+    struct cw_name service = r->service;
+    struct cw_daemon *d = o->d;
+
+    cw_peer_give_slot(o->p, cw_name_str(&service), none_free);
     if (m->complete && r->status != 0) {
         cw_request_detach(r);
         out_free(o);
         cw_request_end(r, true);
+        cw_dispatch_kick(d, cw_name_str(&service));
         return;
     }
     out_lost(o,
--- a/packages/daemon/peers_query.c
+++ b/packages/daemon/peers_query.c
@@ -69,6 +69,22 @@
     }
 }
 
+void
+cw_peer_give_slot(struct cw_peer *p, struct cw_str service, bool none_free)
+{
+    struct cw_load *l = load_of(p, service);
+
+    if (l == NULL) {
+        return;
+    }
+    if (none_free) {
+        l->free_slots = 0;
+    }
+    else if (l->free_slots < l->held) {
+        l->free_slots++;
+    }
+}
+
 size_t
 cw_peers_confirming(const struct cw_daemon *d, cw_ms since, size_t *same_dc)
 {
