--- a/standins/load_main.c
+++ b/standins/load_main.c
@@ -104,6 +104,18 @@
     return ok;
 }
 
+/* Ends the load early; requests in flight are waited for. */
+static void
+on_term(uv_signal_t *s, int signum)
+{
+    struct load *l = s->data;
+    (void)signum;
+    l->seconds = 0;
+    if (l->in_flight == 0) {
+        load_end(l);
+    }
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -122,6 +134,11 @@
     if (!parse_options(&l, argc, argv)) {
         return 2;
     }
+    uv_signal_t term;
+    uv_signal_init(l.loop, &term);
+    term.data = &l;
+    uv_signal_start(&term, on_term, SIGTERM);
+    uv_unref((uv_handle_t *)&term);
     cw_rng_init(&l.rng, (uint64_t)l.seed);
     load_start(&l);
     uv_run(l.loop, UV_RUN_DEFAULT);
