Let the daemon end its graceful stop without an abort

Cause: after a clean stop each daemon aborted. h2o's graceful-shutdown timer was still linked when its context was disposed of, and a runner's connection pool was disposed of twice because a retirement time of 0 means "not yet". Change: unlink the timer first; retire with time 1 in the final clean-up. Conclusion: a planned stop is visible as a success to whoever started the daemon.

--- a/packages/daemon/http_server.c
+++ b/packages/daemon/http_server.c
@@ -245,6 +245,9 @@
         uv_run(s->loop, UV_RUN_ONCE);
     }
     if (s->conn_count == 0) {
+        /* A shutdown request leaves h2o's HTTP/2 timer linked for a second,
+         * which the dispose would refuse with an assertion. */
+        h2o_timeout_unlink(&s->ctx.http2._graceful_shutdown_timeout);
         h2o_context_dispose(&s->ctx);
         h2o_config_dispose(&s->conf);
     }
--- a/packages/daemon/runners.c
+++ b/packages/daemon/runners.c
@@ -267,7 +267,8 @@
         runner_retire(d, all->items[i]);
     }
     all->count = 0;
-    reap_retired(all, 0);
+    /* Above 0, which marks a runner whose pool is not disposed of yet. */
+    reap_retired(all, 1);
     for (int i = 0; i < 10; i++) {
         uv_run(d->loop, UV_RUN_NOWAIT);
     }
