Run without worker control

Cause: a daemon without a worker port, as in the front tests, called a null function when it held a placement cell. Change: placement is off without the port. Figures: test_front, 8 tests: all crashed before, all pass after. Conclusion: the port is optional.

--- a/packages/daemon/ctl_place.c
+++ b/packages/daemon/ctl_place.c
@@ -227,6 +227,10 @@
 void
 cw_ctl_place_init(struct cw_daemon *d)
 {
+    /* Without worker control there is nothing to schedule on. */
+    if (d->worker.reports == NULL) {
+        return;
+    }
     struct cw_ctl_place *ctl = calloc(1, sizeof(*ctl));
     if (ctl == NULL) {
         return;
