Answer every port call in the daemon's tests

The control modules call pool and worker control, which the tests left empty: with them in the table every test of the callers' side crashed in its setup.

--- a/tests/daemon_util.c
+++ b/tests/daemon_util.c
@@ -196,17 +196,110 @@
 
 /* ---- ports ----------------------------------------------------------- */
 
+/* A call to a part of the platform that is away. */
+struct du_later {
+    struct du_later *next;
+    void (*list)(void *arg, enum cw_status s, uint64_t version, size_t count,
+                 const struct cw_vm_info *vms);
+    void (*call)(void *arg, enum cw_status s);
+    void (*vm)(void *arg, enum cw_status s, const struct cw_pool_vm *vm);
+    void (*reports)(void *arg, enum cw_status s, uint64_t version,
+                    size_t count, const struct cw_worker_report *reports);
+    void *arg;
+};
+
+static struct du_later *
+later_new(struct du *u, void *arg)
+{
+    struct du_later *l = calloc(1, sizeof(*l));
+
+    assert_non_null(l);
+    l->arg = arg;
+    l->next = u->later;
+    u->later = l;
+    return l;
+}
+
+static void
+later_answer(struct du *u)
+{
+    struct du_later *list = u->later;
+
+    u->later = NULL;
+    while (list != NULL) {
+        struct du_later *l = list;
+
+        list = l->next;
+        if (l->list != NULL) {
+            l->list(l->arg, CW_ERR_UNAVAILABLE, 0, 0, NULL);
+        }
+        if (l->call != NULL) {
+            l->call(l->arg, CW_ERR_UNAVAILABLE);
+        }
+        if (l->vm != NULL) {
+            l->vm(l->arg, CW_ERR_UNAVAILABLE, NULL);
+        }
+        if (l->reports != NULL) {
+            l->reports(l->arg, CW_ERR_UNAVAILABLE, 0, 0, NULL);
+        }
+        free(l);
+    }
+}
+
 static void
 list_get(void *ctx, uint64_t since,
          void (*done)(void *arg, enum cw_status s, uint64_t version,
                       size_t count, const struct cw_vm_info *vms),
          void *arg)
 {
-    /* The VM comes from the log; a list that does not answer is away. */
-    (void)ctx;
     (void)since;
-    (void)done;
-    (void)arg;
+    later_new(ctx, arg)->list = done;
+}
+
+static void
+pool_call(void *ctx, enum cw_pool_call what, const char *vm, const char *op,
+          uint64_t fence, const char *pool,
+          void (*done)(void *arg, enum cw_status s), void *arg)
+{
+    (void)what;
+    (void)vm;
+    (void)op;
+    (void)fence;
+    (void)pool;
+    later_new(ctx, arg)->call = done;
+}
+
+static void
+pool_status(void *ctx, const char *vm,
+            void (*done)(void *arg, enum cw_status s,
+                         const struct cw_pool_vm *vm),
+            void *arg)
+{
+    (void)vm;
+    later_new(ctx, arg)->vm = done;
+}
+
+static void
+worker_reports(void *ctx, uint32_t cell, uint32_t cells, uint64_t since,
+               void (*done)(void *arg, enum cw_status s, uint64_t version,
+                            size_t count,
+                            const struct cw_worker_report *reports),
+               void *arg)
+{
+    (void)cell;
+    (void)cells;
+    (void)since;
+    later_new(ctx, arg)->reports = done;
+}
+
+static void
+worker_call(void *ctx, enum cw_worker_call what,
+            const struct cw_task_order *order,
+            void (*done)(void *arg, enum cw_status s), void *arg)
+{
+    (void)what;
+    (void)order;
+    later_new(ctx, arg)->call = done;
 }
 
 static void
@@ -215,6 +308,21 @@
     struct du *u = t->data;
 
     du_log_pump(&u->log);
+    later_answer(u);
+}
+
+static void
+set_ports(struct du *u)
+{
+    du_log_port(&u->log, &u->d.log);
+    u->d.vmlist.ctx = u;
+    u->d.pool.ctx = u;
+    u->d.worker.ctx = u;
+    u->d.vmlist.get = list_get;
+    u->d.pool.call = pool_call;
+    u->d.pool.status = pool_status;
+    u->d.worker.reports = worker_reports;
+    u->d.worker.call = worker_call;
 }
 
 /* ---- daemon ---------------------------------------------------------- */
@@ -323,8 +431,7 @@
     u->d.loop = &u->loop;
     u->d.clock = cw_clock_system();
     u->d.settings = &u->settings;
-    du_log_port(&u->log, &u->d.log);
-    u->d.vmlist.get = list_get;
+    set_ports(u);
     assert_int_equal(uv_timer_init(&u->loop, &u->pump), 0);
     u->pump.data = u;
     assert_int_equal(uv_timer_start(&u->pump, on_pump, 1, 1), 0);
@@ -339,6 +446,13 @@
 du_stop(struct du *u)
 {
     u->d.stopped = true;
+    /* Open calls end before the daemon, as those of the real clients do. */
+    u->log.mode = DU_LOG_DOWN;
+    for (int i = 0; i < 100 && (u->log.calls != NULL || u->later != NULL);
+         i++) {
+        du_log_pump(&u->log);
+        later_answer(u);
+    }
     cw_daemon_finish(&u->d);
     uv_close((uv_handle_t *)&u->pump, NULL);
     uv_close((uv_handle_t *)&u->limit, NULL);
--- a/tests/daemon_util.h
+++ b/tests/daemon_util.h
@@ -49,6 +49,7 @@
     struct cw_settings settings;
     struct cw_daemon d;
     struct du_log log;
+    struct du_later *later;
     uv_timer_t pump;
     uv_timer_t limit;
     bool late;
