Test what callers are told when processes fail

Cause: "not run", at most once and visible cuts have to hold with real processes that die, not only in the decision functions.

--- /dev/null
+++ b/tests/proc_fleet_observe.c
@@ -0,0 +1,133 @@
+/* Faults, counters and load of a fleet of real processes. */
+#include "proc_fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+bool
+proc_fleet_fault(struct proc_fleet *f, const char *body)
+{
+    json_t *o = proc_json(f->platform->port, "/fault", body);
+    bool ok = json_is_true(json_object_get(o, "accepted"));
+    json_decref(o);
+    return ok;
+}
+
+bool
+proc_fleet_control(struct proc_fleet *f, int vm, const char *path,
+                   const char *body)
+{
+    json_t *o = proc_json(f->vms[vm].control, path, body);
+    bool ok = json_object_get(o, "in_flight") != NULL;
+    json_decref(o);
+    return ok;
+}
+
+bool
+proc_fleet_endpoint_fault(struct proc_fleet *f, int vm, const char *body)
+{
+    return proc_fleet_control(f, vm, "/fault", body);
+}
+
+int64_t
+proc_fleet_counter(struct proc_fleet *f, int vm, const char *key)
+{
+    return proc_json_number(f->vms[vm].control, "/status", key);
+}
+
+int64_t
+proc_fleet_counter_max(struct proc_fleet *f, const char *key)
+{
+    int64_t max = -1;
+    for (int i = 0; i < f->vm_count; i++) {
+        int64_t v = proc_fleet_counter(f, i, key);
+        max = v > max ? v : max;
+    }
+    return max;
+}
+
+int64_t
+proc_fleet_runs(struct proc_fleet *f, const char *token)
+{
+    char body[128];
+    snprintf(body, sizeof(body), "[\"%s\"]", token);
+    json_t *o = proc_json(f->vms[0].control, "/runs", body);
+    const json_t *n = json_array_get(json_object_get(o, "runs"), 0);
+    int64_t runs = json_is_integer(n) ? json_integer_value(n) : -1;
+    json_decref(o);
+    return runs;
+}
+
+struct proc *
+proc_fleet_load(struct proc_fleet *f, const char *name, unsigned daemon_mask,
+                const char *services, const char *const extra[])
+{
+    char targets[256] = "";
+    char verify[32];
+    const char *argv[32] = {"standin-load", "--target", targets, "--service",
+                            services,       "--verify", verify};
+    int n = 7;
+    size_t len = 0;
+    for (int i = 0; i < f->o.daemons; i++) {
+        if ((daemon_mask >> (unsigned)i & 1U) != 0) {
+            len += (size_t)snprintf(targets + len, sizeof(targets) - len,
+                                    "%s127.0.0.1:%d", len == 0 ? "" : ",",
+                                    f->daemons[i]->port);
+        }
+    }
+    snprintf(verify, sizeof(verify), "127.0.0.1:%d", f->vms[0].control);
+    for (int i = 0; extra[i] != NULL && n < 31; i++) {
+        argv[n++] = extra[i];
+    }
+    return proc_start(&f->env, name, argv);
+}
+
+int64_t
+proc_fleet_load_value(const struct proc_fleet *f, const struct proc *load,
+                      const char *name)
+{
+    return proc_log_value(&f->env, load, name);
+}
+
+int64_t
+proc_fleet_status(struct proc_fleet *f, int daemon, const char *key)
+{
+    return proc_json_number(f->daemons[daemon]->admin_port, "/status", key);
+}
+
+bool
+proc_fleet_is_member(struct proc_fleet *f, int asked, const char *daemon)
+{
+    bool member = false;
+    json_t *o = proc_json(f->daemons[asked]->admin_port, "/members", NULL);
+    const json_t *list = json_object_get(o, "members");
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const char *z = json_string_value(
+            json_object_get(json_array_get(list, i), "daemon"));
+        member |= z != NULL && strcmp(z, daemon) == 0;
+    }
+    json_decref(o);
+    return member;
+}
+
+struct member_wait {
+    struct proc_fleet *f;
+    int asked;
+    const char *daemon;
+    bool member;
+};
+
+static bool
+member_as_wanted(void *arg)
+{
+    const struct member_wait *w = arg;
+    return proc_fleet_is_member(w->f, w->asked, w->daemon) == w->member;
+}
+
+bool
+proc_fleet_wait_member(struct proc_fleet *f, int asked, const char *daemon,
+                       bool member)
+{
+    struct member_wait w = {f, asked, daemon, member};
+    return proc_until(member_as_wanted, &w, PROC_LIMIT_MS);
+}
