--- a/bench/bench_request.c
+++ b/bench/bench_request.c
@@ -53,6 +53,8 @@
     printf("%s.goodput_share=%.4f\n", key, (double)r->good / offered);
     printf("%s.refused_share=%.4f\n", key, (double)r->refused / offered);
     printf("%s.late_share=%.4f\n", key, (double)r->late / offered);
+    printf("%s.p50_ms=%.1f\n", key,
+           (double)cw_hist_quantile(&r->latency_us, 0.5) / 1000);
     printf("%s.p99_ms=%.1f\n", key,
            (double)cw_hist_quantile(&r->latency_us, 0.99) / 1000);
     printf("%s.refusal_delay_p50_ms=%.1f\n", key,
@@ -182,6 +184,25 @@
     }
 }
 
+/* With pools at the peak there is a choice of endpoints, which a full pool
+ * does not leave. */
+static void
+run_choices(const struct sim_deployment *d, uint64_t seed)
+{
+    struct sim_config c = chosen(d, seed);
+    c.vms = 5 * SIM_MEAN_VMS;
+    c.name = "peak_chosen";
+    run(c);
+    c.route.two_choices = false;
+    c.name = "peak_two_choices_off";
+    run(c);
+    c = chosen(d, seed);
+    c.vms = 5 * SIM_MEAN_VMS;
+    c.route.limit.enabled = false;
+    c.name = "peak_limit_off";
+    run(c);
+}
+
 /* Spare VMs for k bursts, spread over the pools: a VM cannot change its pool
  * within the seconds of a burst. */
 static void
@@ -203,6 +224,7 @@
     uint64_t seed = bench_seed(argc, argv);
     for (size_t i = 0; i < sizeof(deployments) / sizeof(deployments[0]); i++) {
         run_variants(&deployments[i], seed);
+        run_choices(&deployments[i], seed);
         run_spares(&deployments[i], seed);
     }
     return 0;
--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1151,10 +1151,15 @@
 void cw_admit_served(struct cw_admit *q, double service_ms, cw_ms now);
 
 /* Queries. */
-/* Expected time until a request of this caller and priority that arrived now
- * would be sent; 0 while the rate is unknown. */
+/* Expected time until a request of this caller and priority, but without a
+ * deadline, that arrived now would be sent; 0 while the rate is unknown. */
 double cw_admit_wait_ms(const struct cw_admit *q, uint64_t caller,
                         enum cw_priority priority, cw_ms now);
+/* True when a request that arrived now would be sent too late to end before
+ * its deadline: the test of cw_admit_offer, for use before steps that cost
+ * something. */
+bool cw_admit_late(const struct cw_admit *q, uint64_t caller,
+                   enum cw_priority priority, cw_ms deadline, cw_ms now);
 /* True while the newest request of a caller is served first. */
 bool cw_admit_lifo(const struct cw_admit *q, cw_ms now);
 /* Time to serve all that waits, for heartbeats; 0 while the rate is unknown.
--- a/packages/policy/cw_admit.c
+++ b/packages/policy/cw_admit.c
@@ -179,12 +179,10 @@
     *evicted = NULL;
     enum cw_priority p = cw_admit_class(q, item->priority);
     uint64_t caller = cw_admit_caller(q, item->caller);
-    double left = (double)(item->deadline - now);
-    if (left <= 0 || (q->params.early_refuse &&
-                      cw_admit_wait_of(q, item->caller, item->priority,
-                                       item->deadline, now) +
-                              q->service_ms >
-                          left)) {
+    if (item->deadline <= now ||
+        (q->params.early_refuse &&
+         cw_admit_late(q, item->caller, item->priority, item->deadline,
+                       now))) {
         return CW_ADMIT_LATE;
     }
     if (q->params.bound > 0 && q->count >= q->params.bound) {
--- a/packages/policy/cw_admit_query.c
+++ b/packages/policy/cw_admit_query.c
@@ -179,3 +179,12 @@
 {
     return cw_admit_wait_of(q, caller, priority, INT64_MAX, now);
 }
+
+bool
+cw_admit_late(const struct cw_admit *q, uint64_t caller,
+              enum cw_priority priority, cw_ms deadline, cw_ms now)
+{
+    return cw_admit_wait_of(q, caller, priority, deadline, now) +
+               q->service_ms >
+           (double)(deadline - now);
+}
