Test waves and moves with real processes

A first run showed a batch that took all VMs of a data centre, whose daemon then refused requests as late. A batch now takes at most half of a data centre's VMs. Demand is averaged over the time that stat records cover; until that is 15 minutes only the documents' bounds move VMs.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1428,15 +1428,19 @@
 #define CW_WAVE_VMS_MAX 4096 /* VMs in one pool */
 
 struct cw_wave_params {
-    cw_ms healthy_ms;       /* health before open and resume, default 30 s */
-    cw_ms retry_ms;         /* before a VM is tried again, default 1 h */
-    cw_ms hold_wait_ms;     /* longest wait for another wave's hold, 1 h */
-    double deadline_share;  /* of maintain_every_ms, default 0.9 */
-    double earliest_share;  /* no VM younger than this, default 0.5 */
-    double open_share;      /* VMs due to open a wave, default 0.1 */
-    uint32_t first_limit;   /* least batch limit of a new wave, default 2 */
-    double first_share;     /* of the pool, if that is more, default 0.1 */
-    uint32_t fixed_batch;   /* 0 = adapt; else the batch size, for the bench */
+    cw_ms healthy_ms;      /* health before open and resume, default 30 s */
+    cw_ms retry_ms;        /* before a VM is tried again, default 1 h */
+    cw_ms hold_wait_ms;    /* longest wait for another wave's hold, 1 h */
+    double deadline_share; /* of maintain_every_ms, default 0.9 */
+    double earliest_share; /* no VM younger than this, default 0.5 */
+    double open_share;     /* VMs due to open a wave, default 0.1 */
+    uint32_t first_limit;  /* least batch limit of a new wave, default 2 */
+    double first_share;    /* of the pool, if that is more, default 0.1 */
+    uint32_t fixed_batch;  /* 0 = adapt; else the batch size, for the bench */
+    /* A batch takes at most this share of the pool's ready VMs in a data
+     * centre, but at least one, default 0.5: the daemons there would have to
+     * forward everything. */
+    double dc_share;
     bool one_dc;            /* a batch stays within one data centre */
     bool one_rack;          /* and in as few racks as it fits in */
     bool check_capacity;    /* never more VMs out than the pool can spare */
--- a/packages/daemon/ctl_load.c
+++ b/packages/daemon/ctl_load.c
@@ -149,11 +149,23 @@
            wall - l->covered_since >= span;
 }
 
+bool
+cw_loads_known(const struct cw_loads *l, const struct cw_daemon *d)
+{
+    return d->state.stat_count == 0 ||
+           cw_loads_cover(l, d, 2 * d->settings->stat_ms);
+}
+
 double
 cw_loads_demand(const struct cw_loads *l, const struct cw_daemon *d,
                 const struct cw_name *service, cw_ms span)
 {
     const struct cw_load_entry *e = cw_loads_find(l, service);
     cw_ms end = cw_daemon_wall(d) - d->settings->stat_ms;
+    /* The time before the first record would count as time without demand. */
+    if (end - l->covered_since < span) {
+        span = end - l->covered_since;
+        span = span > CW_TREND_BUCKET_MS ? span : CW_TREND_BUCKET_MS;
+    }
     return e != NULL ? cw_trend_average(&e->demand, end, span) : 0;
 }
--- a/packages/daemon/ctl_moves.c
+++ b/packages/daemon/ctl_moves.c
@@ -2,6 +2,7 @@
  * from a pool that this daemon holds. */
 #include "cw_ctl_maint.h"
 
+#include <math.h>
 #include <string.h>
 
 /* A service in its turn asks for about this many times its mean. */
@@ -131,8 +132,7 @@
     const struct cw_settings *st = d->settings;
     struct cw_spare_params p = cw_spare_defaults();
     struct cw_spare_out out;
-    /* A gap in the counts would look like pools without demand. */
-    if (!cw_loads_cover(&d->ctl_maint->loads, d, 15 * CW_MINUTE) ||
+    if (!cw_loads_known(&d->ctl_maint->loads, d) ||
         !cw_ops_members_stable(d, now)) {
         return;
     }
@@ -140,6 +140,11 @@
     /* An idle VM in a pool is buffer; returning it costs a move. */
     p.return_idle = st->weight_buffer >= st->weight_rollout &&
                     st->weight_buffer >= st->weight_moves;
+    if (!cw_loads_cover(&d->ctl_maint->loads, d, 15 * CW_MINUTE)) {
+        /* No trend is known yet: only the documents' bounds move VMs. */
+        p.take_above = INFINITY;
+        p.return_idle = false;
+    }
     gather(d, &f);
     cw_spare_decide(&p, f.count, f.pools, &out);
     for (size_t i = 0; i < out.count; i++) {
--- a/packages/daemon/ctl_waves.c
+++ b/packages/daemon/ctl_waves.c
@@ -265,12 +265,8 @@
     g.vms = calloc(n, sizeof(*g.vms));
     g.index = calloc(n, sizeof(*g.index));
     g.ops = calloc(d->state.op_count + 1, sizeof(*g.ops));
-    /* Without recent counts neither the budget nor the demand is known. A
-     * service that nobody ever called has none. */
-    bool known =
-        d->state.stat_count == 0 ||
-        cw_loads_cover(&d->ctl_maint->loads, d, 2 * d->settings->stat_ms);
-    bool ok = g.vms != NULL && g.index != NULL && g.ops != NULL && known;
+    bool ok = g.vms != NULL && g.index != NULL && g.ops != NULL &&
+              cw_loads_known(&d->ctl_maint->loads, d);
     for (size_t i = 0; ok && i < d->state.doc_count; i++) {
         const struct cw_doc_entry *doc = d->state.docs[i];
         struct cw_name scope;
--- a/packages/daemon/cw_ctl_maint.h
+++ b/packages/daemon/cw_ctl_maint.h
@@ -72,6 +72,9 @@
 /* True when the records cover the last span without a gap. */
 bool cw_loads_cover(const struct cw_loads *l, const struct cw_daemon *d,
                     cw_ms span);
+/* Recent counts are there, or nobody ever called a service. Without them
+ * neither a budget nor a demand is known. */
+bool cw_loads_known(const struct cw_loads *l, const struct cw_daemon *d);
 /* The average demand of a service over a span that ends where the records of
  * all daemons are in. */
 double cw_loads_demand(const struct cw_loads *l, const struct cw_daemon *d,
--- a/packages/policy/cw_wave.c
+++ b/packages/policy/cw_wave.c
@@ -18,6 +18,7 @@
         .open_share = 0.1,
         .first_limit = 2,
         .first_share = 0.1,
+        .dc_share = 0.5,
         .one_dc = true,
         .one_rack = true,
         .check_capacity = true,
@@ -260,6 +261,18 @@
     return in->vms[best].rack;
 }
 
+static uint32_t
+dc_limit(const struct cw_wave_params *p, const struct cw_wave_in *in,
+         struct cw_str dc)
+{
+    uint32_t ready = 0;
+    for (size_t i = 0; i < in->vm_count; i++) {
+        ready += in->vms[i].ready && cw_str_eq(dc, in->vms[i].dc);
+    }
+    uint32_t limit = (uint32_t)(p->dc_share * ready);
+    return limit > 0 ? limit : 1;
+}
+
 static void
 pick_batch(const struct cw_wave_params *p, const struct cw_wave_in *in,
            bool *due, uint32_t limit, struct cw_wave_out *out)
@@ -267,6 +280,8 @@
     struct cw_str any = {0};
     size_t first = oldest_due(in, due, any, any);
     struct cw_str dc = p->one_dc ? in->vms[first].dc : any;
+    uint32_t most = p->one_dc ? dc_limit(p, in, dc) : limit;
+    limit = most < limit ? most : limit;
     while (out->count < limit) {
         struct cw_str rack = any;
         if (oldest_due(in, due, dc, any) == in->vm_count) {
--- /dev/null
+++ b/tests/test_proc_move.c
@@ -0,0 +1,139 @@
+/* Guards moves between pools with real processes: whatever happens in mid-move
+ * the VM ends in one pool and no request is cut. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "wave_fleet.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define MOVE_LIMIT_MS 90000
+
+static void
+freeze(struct wave_fleet *f, const json_t *record)
+{
+    struct proc *holder = fleet_writer(f, record);
+    proc_signal(holder, SIGSTOP);
+    proc_sleep_ms(5000);
+    proc_signal(holder, SIGCONT);
+}
+
+static void
+kill_holder(struct wave_fleet *f, const json_t *record)
+{
+    proc_signal(fleet_writer(f, record), SIGKILL);
+}
+
+static void
+lose_answers(struct wave_fleet *f, const json_t *record)
+{
+    (void)record;
+    fleet_fault(f, "{\"pool\":\"lose\",\"lose_calls\":3}");
+}
+
+static void
+log_outage(struct wave_fleet *f, const json_t *record)
+{
+    (void)record;
+    fleet_fault(f, "{\"log\":\"down\"}");
+    proc_sleep_ms(6000);
+    fleet_fault(f, "{\"log\":\"up\"}");
+}
+
+static void
+lose_appends(struct wave_fleet *f, const json_t *record)
+{
+    (void)record;
+    fleet_fault(f, "{\"log\":\"lose\",\"lose_calls\":5}");
+}
+
+struct fault {
+    const char *name;
+    const char *step; /* of the move, at which it happens */
+    void (*act)(struct wave_fleet *f, const json_t *record);
+};
+
+/* The log and pool control agree on the pools: stock has the VM it lacked. */
+static bool
+check_pools(const struct wave_fleet *f)
+{
+    size_t stock = 0;
+    json_t *o = proc_json(f->env.platform_port, "/vms?since=0", NULL);
+    json_t *vms = json_object_get(o, "vms");
+    size_t i;
+    const json_t *v;
+    json_array_foreach(vms, i, v)
+    {
+        const char *pool = json_string_value(json_object_get(v, "pool"));
+        stock += pool != NULL && strcmp(pool, "stock") == 0;
+    }
+    json_decref(o);
+    return stock == FLEET_STOCK + 1 && fleet_violations(f) == 0;
+}
+
+static void
+run(const struct fault *t)
+{
+    struct wave_fleet f;
+    fleet_start(&f);
+    fleet_put(&f, "spare", 0, 2, true);
+    fleet_put(&f, "stock", 0, FLEET_STOCK + 1, false);
+    bool good = fleet_wait(&f, "op", "step", t->step, 1, MOVE_LIMIT_MS);
+    if (good) {
+        t->act(&f, fleet_last(&f, "op", "step", t->step));
+        good = fleet_wait(&f, "op", "step", "done", 1, MOVE_LIMIT_MS);
+    }
+    good = good && check_pools(&f) &&
+           fleet_count(&f, "op", "step", "failed") == 0;
+    fleet_stop(&f, !good);
+    if (!good) {
+        fail_msg("fault %s", t->name);
+    }
+}
+
+/* Faults of the holder. */
+static void
+test_holder_faults(void **state)
+{
+    (void)state;
+    static const struct fault faults[] = {
+        {"frozen and woken in the drain", "draining", freeze},
+        {"frozen and woken before the assign call", "assigning", freeze},
+        {"killed after assigning", "assigning", kill_holder},
+    };
+    for (size_t i = 0; i < COUNT(faults); i++) {
+        run(&faults[i]);
+    }
+}
+
+/* Faults of the platform. */
+static void
+test_platform_faults(void **state)
+{
+    (void)state;
+    static const struct fault faults[] = {
+        {"answers of pool control lost", "draining", lose_answers},
+        {"log away in the drain", "draining", log_outage},
+        {"log away after assigning", "assigning", log_outage},
+        {"answers of appends lost", "draining", lose_appends},
+    };
+    for (size_t i = 0; i < COUNT(faults); i++) {
+        run(&faults[i]);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_holder_faults),
+        cmocka_unit_test(test_platform_faults),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_wave.c
+++ b/tests/test_wave.c
@@ -172,6 +172,14 @@
     decide(&w);
     assert_int_equal(w.out.count, 2);
     setup(&w);
+    /* A data centre keeps half of its VMs. */
+    w.params.first_limit = 4;
+    decide(&w);
+    assert_int_equal(w.out.count, 2);
+    w.params.dc_share = 1;
+    decide(&w);
+    assert_int_equal(w.out.count, 4);
+    setup(&w);
     w.in.budget_limit = 1;
     decide(&w);
     assert_int_equal(w.out.count, 1);
@@ -222,6 +230,7 @@
     struct world w;
     setup(&w);
     w.params.first_limit = 4;
+    w.params.dc_share = 1;
     add_op(&w, 0, 10, 30, CW_STEP_FAILED);
     add_op(&w, 1, 11, 31, CW_STEP_FAILED);
     w.vms[0].ready = w.vms[1].ready = false;
