--- a/packages/daemon/probes.c
+++ b/packages/daemon/probes.c
@@ -182,7 +182,8 @@
 {
     struct cw_probes *p = d->probes;
     const struct cw_runners *all = d->runners;
-    struct cw_runner **mine = calloc(all->count + 1, sizeof(*mine));
+    struct cw_runner **mine =
+        calloc(all->count + 1, sizeof(struct cw_runner *));
 
     if (mine == NULL) {
         return;
@@ -199,7 +200,7 @@
             mine[p->mine_count++] = all->items[i];
         }
     }
-    qsort(mine, p->mine_count, sizeof(*mine), compare_probed);
+    qsort(mine, p->mine_count, sizeof(struct cw_runner *), compare_probed);
 }
 
 void
