--- a/packages/daemon/address.c
+++ b/packages/daemon/address.c
@@ -1,7 +1,36 @@
 #include "cw_modules.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
+void
+cw_address_of(const uv_tcp_t *tcp, struct cw_name *out)
+{
+    struct sockaddr_storage sa;
+    int len = sizeof(sa);
+    char host[INET6_ADDRSTRLEN];
+    char text[CW_NAME_MAX + 1];
+    int n;
+
+    if (uv_tcp_getsockname(tcp, (struct sockaddr *)&sa, &len) != 0) {
+        return;
+    }
+    if (sa.ss_family == AF_INET6) {
+        const struct sockaddr_in6 *in6 = (const struct sockaddr_in6 *)&sa;
+
+        (void)uv_ip6_name(in6, host, sizeof(host));
+        n = snprintf(text, sizeof(text), "[%s]:%u", host,
+                     ntohs(in6->sin6_port));
+    }
+    else {
+        const struct sockaddr_in *in4 = (const struct sockaddr_in *)&sa;
+
+        (void)uv_ip4_name(in4, host, sizeof(host));
+        n = snprintf(text, sizeof(text), "%s:%u", host, ntohs(in4->sin_port));
+    }
+    (void)cw_name_set(out, (struct cw_str){text, (size_t)n});
+}
+
 enum cw_status
 cw_address_parse(struct cw_str text, struct sockaddr_storage *sa,
                  socklen_t *len)
--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -289,7 +289,7 @@
     d->admin = a;
     return cw_http_server_init(&a->server, d->loop,
                                cw_name_str(&d->settings->admin_listen),
-                               admin_on_req, a, d->msg);
+                               &d->admin_listen, admin_on_req, a, d->msg);
 }
 
 void
--- a/packages/daemon/cw_daemon.h
+++ b/packages/daemon/cw_daemon.h
@@ -21,6 +21,11 @@
     struct cw_state state;
     struct cw_metrics metrics;
 
+    /* Addresses that the listeners are bound to. */
+    struct cw_name listen;
+    struct cw_name peer_listen;
+    struct cw_name admin_listen;
+
     struct cw_log_port log;
     struct cw_vmlist_port vmlist;
     struct cw_pool_port pool;
--- a/packages/daemon/cw_http_server.h
+++ b/packages/daemon/cw_http_server.h
@@ -22,10 +22,12 @@
     bool ready;
 };
 
-/* Listens on an address. on_req answers every request that h2o accepts.
- * Answers that h2o makes itself get the daemon's JSON form and outcome. */
+/* Listens on an address; *bound is set to the one in use. on_req answers every
+ * request that h2o accepts. Answers that h2o makes itself get the daemon's
+ * JSON form and outcome. */
 enum cw_status cw_http_server_init(struct cw_http_server *s, uv_loop_t *loop,
                                    struct cw_str address,
+                                   struct cw_name *bound,
                                    int (*on_req)(void *arg, h2o_req_t *req),
                                    void *arg, char *msg);
 /* Accepts no further connection; open ones end after their next answer. */
--- a/packages/daemon/cw_modules.h
+++ b/packages/daemon/cw_modules.h
@@ -14,6 +14,10 @@
 enum cw_status cw_address_parse(struct cw_str text,
                                 struct sockaddr_storage *sa, socklen_t *len);
 
+/* The address that a socket is bound to, which differs from the settings when
+ * those leave the port to the system. */
+void cw_address_of(const uv_tcp_t *tcp, struct cw_name *out);
+
 /* ---- follower.c, append.c -------------------------------------------- */
 
 enum cw_status cw_follower_init(struct cw_daemon *d);
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -136,8 +136,8 @@
     }
     uv_timer_start(&d->timer, on_timer, 0, CW_TICK_MS);
     cw_log(CW_INFO, "started", "listen=%s peers=%s admin=%s version=%s",
-           d->settings->listen.text, d->settings->peer_listen.text,
-           d->settings->admin_listen.text, CW_VERSION);
+           d->listen.text, d->peer_listen.text, d->admin_listen.text,
+           CW_VERSION);
     return CW_OK;
 }
 
--- a/packages/daemon/front.c
+++ b/packages/daemon/front.c
@@ -365,8 +365,8 @@
     f->d = d;
     d->front = f;
     return cw_http_server_init(&f->server, d->loop,
-                               cw_name_str(&d->settings->listen), front_on_req,
-                               f, d->msg);
+                               cw_name_str(&d->settings->listen), &d->listen,
+                               front_on_req, f, d->msg);
 }
 
 void
--- a/packages/daemon/http_server.c
+++ b/packages/daemon/http_server.c
@@ -182,7 +182,7 @@
 
 enum cw_status
 cw_http_server_init(struct cw_http_server *s, uv_loop_t *loop,
-                    struct cw_str address,
+                    struct cw_str address, struct cw_name *bound,
                     int (*handle)(void *arg, h2o_req_t *req), void *arg,
                     char *msg)
 {
@@ -199,6 +199,7 @@
     if (st != CW_OK) {
         return st;
     }
+    cw_address_of(s->listener, bound);
     h2o_config_init(&s->conf);
     s->conf.server_name = h2o_iovec_init(NULL, 0);
     s->conf.max_request_entity_size = CW_BODY_MAX;
--- a/packages/daemon/members.c
+++ b/packages/daemon/members.c
@@ -177,7 +177,7 @@
     (void)cw_name_set(&r.u.member.daemon, daemon);
     if (action == CW_MEMBER_JOIN) {
         r.u.member.dc = d->settings->dc;
-        r.u.member.address = d->settings->peer_listen;
+        r.u.member.address = d->peer_listen;
     }
     cw_daemon_append(d, &r, done, d);
 }
--- a/packages/daemon/peers.c
+++ b/packages/daemon/peers.c
@@ -82,7 +82,7 @@
     h.incarnation = d->incarnation;
     h.dc = (char *)d->settings->dc.text;
     h.version = CW_VERSION;
-    h.address = (char *)d->settings->peer_listen.text;
+    h.address = (char *)d->peer_listen.text;
     env.msg_case = CUMINWALK__ENVELOPE__MSG_HELLO;
     env.hello = &h;
     (void)cw_peer_conn_send(c, &env);
@@ -278,6 +278,7 @@
                        d->settings->peer_listen.text);
     }
     all->listening = true;
+    cw_address_of(all->net.listener, &d->peer_listen);
     return CW_OK;
 }
 
--- a/tests/daemon_util.c
+++ b/tests/daemon_util.c
@@ -333,20 +333,6 @@
     assert_int_equal(cw_name_set(n, cw_str_from(text)), CW_OK);
 }
 
-/* A port that is free now; the daemon listens on it right afterwards. */
-static void
-free_address(struct du *u, struct cw_name *n)
-{
-    uv_tcp_t tcp;
-    char text[32];
-
-    (void)snprintf(text, sizeof(text), "127.0.0.1:%d",
-                   listen_any(&u->loop, &tcp, NULL));
-    uv_close((uv_handle_t *)&tcp, NULL);
-    (void)uv_run(&u->loop, UV_RUN_NOWAIT);
-    set_name(n, text);
-}
-
 static void
 fill_settings(struct du *u)
 {
@@ -354,9 +340,9 @@
 
     set_name(&s->daemon, "d1");
     set_name(&s->dc, "dc1");
-    free_address(u, &s->listen);
-    free_address(u, &s->peer_listen);
-    free_address(u, &s->admin_listen);
+    set_name(&s->listen, "127.0.0.1:0");
+    set_name(&s->peer_listen, "127.0.0.1:0");
+    set_name(&s->admin_listen, "127.0.0.1:0");
     s->heartbeat_ms = 1000;
     /* A new daemon's slots wait for this long. */
     s->silent_ms = 900;
@@ -535,7 +521,7 @@
 du_exchange(struct du *u, struct cw_str request, struct cw_buf *answer)
 {
     struct du_conn *c = conn_new(u);
-    const char *colon = strchr(u->settings.listen.text, ':');
+    const char *colon = strchr(u->d.listen.text, ':');
     struct sockaddr_in sa;
 
     c->caller = true;
