Renew task leases while the log is unavailable

Cause: the holder of a cell did nothing while the log was away, so the leases of its tasks ended after 30 s and the workers stopped them. The platform's store may be down for a long time, and tasks that run are not to suffer from it.

Change: a confirmed holder goes on renewing (cw_place_renew) and does nothing else until the log is back. No membership changes while the log is away, so it stays the only holder.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1906,6 +1906,10 @@
 
 /* Decides what to do now and calls act once for each action, in order. */
 void cw_place_tick(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx);
+/* Only renews the leases that are due: for a holder that cannot write records
+ * now, but whose tasks have to go on. */
+void cw_place_renew(struct cw_place *p, cw_ms now, cw_place_act act,
+                    void *ctx);
 
 /* Queries. */
 const struct cw_place_task *cw_place_task(const struct cw_place *p,
--- a/packages/daemon/ctl_place.c
+++ b/packages/daemon/ctl_place.c
@@ -184,6 +184,17 @@
     }
 }
 
+/* While the log is away no membership changes, so a confirmed holder stays the
+ * holder: it renews the leases, or every task would end after 30 s. */
+static void
+keep_leases(struct place_cell *c, cw_ms now)
+{
+    if (c->phase == PLACE_ACTIVE && now - c->tick_at >= PLACE_TICK_MS) {
+        c->tick_at = now;
+        cw_place_renew(&c->place, now, place_act, c);
+    }
+}
+
 static void
 tick_cell(struct place_cell *c, cw_ms now)
 {
@@ -200,7 +211,11 @@
         place_cell_drop(c);
         return;
     }
-    if (!holds || !cw_daemon_log_available(d, now)) {
+    if (!holds) {
+        return;
+    }
+    if (!cw_daemon_log_available(d, now)) {
+        keep_leases(c, now);
         return;
     }
     if (c->phase == PLACE_IDLE) {
--- a/packages/policy/cw_place_tick.c
+++ b/packages/policy/cw_place_tick.c
@@ -163,6 +163,19 @@
  * declared lost. */
 #define RENEW_FAILURES_MAX 3
 
+static void
+renew(struct tick *k, struct cw_place_worker *w)
+{
+    const struct cw_place_params *params = &k->p->params;
+    bool away = w->gone || w->renew_failures >= RENEW_FAILURES_MAX;
+    if (w->tasks != NULL && !away &&
+        cw_lease_due(&w->lease, k->now, params->renew_ms)) {
+        cw_lease_grant(&w->lease, k->now, params->lease_ms);
+        w->lease.renewing = true;
+        emit(k, CW_PLACE_RENEW, NULL, w, (struct cw_size){0}, "");
+    }
+}
+
 static void
 tick_worker(struct tick *k, struct cw_place_worker *w)
 {
@@ -173,12 +186,7 @@
     if (w->tasks == NULL) {
         return;
     }
-    bool away = w->gone || w->renew_failures >= RENEW_FAILURES_MAX;
-    if (!away && cw_lease_due(&w->lease, k->now, params->renew_ms)) {
-        cw_lease_grant(&w->lease, k->now, params->lease_ms);
-        w->lease.renewing = true;
-        emit(k, CW_PLACE_RENEW, NULL, w, (struct cw_size){0}, "");
-    }
+    renew(k, w);
     bool over = cw_lease_over(&w->lease, k->now, params->lease_guard_ms);
     struct cw_place_task *next;
     for (struct cw_place_task *t = w->tasks; t != NULL; t = next) {
@@ -410,6 +418,15 @@
  * jobs listed and those cancelled in this time. */
 #define PURGE_MS CW_MINUTE
 
+void
+cw_place_renew(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx)
+{
+    struct tick k = {.p = p, .now = now, .act = act, .ctx = ctx};
+    for (size_t i = 0; i < p->worker_count; i++) {
+        renew(&k, p->workers[i]);
+    }
+}
+
 void
 cw_place_tick(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx)
 {
