Quarantine a worker whose failed job later succeeds elsewhere

Cause: a worker that failed all its tasks of a new job at once was not judged, because the class had no success yet, and it got no further task of that job. It then failed the first tasks of the next job too.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1950,6 +1950,12 @@
                               bool class_works, bool may_quarantine_blind,
                               uint64_t job_hash,
                               const struct cw_place_params *params, cw_ms now);
+/* The job has proved to run on other workers: quarantines a worker whose
+ * failures in a row are all of that job. True when it did. */
+bool cw_worker_health_class_works(struct cw_worker_health *h,
+                                  uint64_t job_hash,
+                                  const struct cw_place_params *params,
+                                  cw_ms now);
 /* True when the worker may be given one more task now. */
 bool cw_worker_health_usable(const struct cw_worker_health *h, cw_ms now);
 /* The worker was given a task; a quarantined one counts it as its probe. */
--- a/packages/policy/cw_place_outcome.c
+++ b/packages/policy/cw_place_outcome.c
@@ -70,17 +70,27 @@
     return longer >= 2;
 }
 
+static bool
+class_succeeds(const struct cw_place_class *c)
+{
+    return c->succeeded > 0 && c->succeeded * 2 >= c->failed;
+}
+
+static uint64_t
+job_hash(const struct cw_place_job *job)
+{
+    return cw_hash(cw_name_str(&job->name), 0);
+}
+
 static void
 judge_worker(const struct outcome *o, const struct cw_place_task *t, bool ok)
 {
     struct cw_worker_health *h = &t->worker->health;
     const struct cw_place_class *c = t->job->class;
-    bool class_works = (c->succeeded > 0 && c->succeeded * 2 >= c->failed) ||
-                       (!ok && peers_run(t, o->now));
+    bool class_works = class_succeeds(c) || (!ok && peers_run(t, o->now));
     bool was = h->quarantined;
     cw_worker_health_outcome(h, ok, class_works, may_quarantine_blind(o->p),
-                             cw_hash(cw_name_str(&t->job->name), 0),
-                             &o->p->params, o->now);
+                             job_hash(t->job), &o->p->params, o->now);
     if (was && !h->quarantined) {
         o->p->maps->quarantined--;
     }
@@ -89,12 +99,30 @@
     }
 }
 
+/* A worker that failed all its tasks of a new job at once gets no further one
+ * of them, so nothing would judge it again before it fails the next job. */
+static void
+judge_earlier_failures(const struct outcome *o, const struct cw_place_job *job)
+{
+    for (size_t i = 0; i < o->p->worker_count; i++) {
+        if (cw_worker_health_class_works(&o->p->workers[i]->health,
+                                         job_hash(job), &o->p->params,
+                                         o->now)) {
+            o->p->maps->quarantined++;
+        }
+    }
+}
+
 static void
 task_done(const struct outcome *o, struct cw_place_task *t)
 {
     struct cw_place_class *c = t->job->class;
+    bool succeeded = class_succeeds(c);
     judge_worker(o, t, true);
     c->succeeded++;
+    if (!succeeded && class_succeeds(c)) {
+        judge_earlier_failures(o, t->job);
+    }
     if (t->peak.cpu_milli > 0 || t->peak.memory_mb > 0) {
         cw_place_class_sample(c, t->peak.cpu_milli, t->peak.memory_mb);
     }
--- a/packages/policy/cw_worker_health.c
+++ b/packages/policy/cw_worker_health.c
@@ -51,6 +51,19 @@
     }
 }
 
+bool
+cw_worker_health_class_works(struct cw_worker_health *h, uint64_t job_hash,
+                             const struct cw_place_params *params, cw_ms now)
+{
+    if (!params->quarantine || h->quarantined || h->varied ||
+        h->last_job != job_hash ||
+        h->blind_streak < params->quarantine_after) {
+        return false;
+    }
+    quarantine(h, params, now);
+    return true;
+}
+
 bool
 cw_worker_health_usable(const struct cw_worker_health *h, cw_ms now)
 {
