--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1911,6 +1911,10 @@
 
 /* Decides what to do now and calls act once for each action, in order. */
 void cw_place_tick(struct cw_place *p, cw_ms now, cw_place_act act, void *ctx);
+/* Only renews the leases that are due: for a holder that cannot write records
+ * now, but whose tasks have to go on. */
+void cw_place_renew(struct cw_place *p, cw_ms now, cw_place_act act,
+                    void *ctx);
 
 /* Queries. */
 const struct cw_place_task *cw_place_task(const struct cw_place *p,
@@ -1951,6 +1955,12 @@
                               bool class_works, bool may_quarantine_blind,
                               uint64_t job_hash,
                               const struct cw_place_params *params, cw_ms now);
+/* The job has proved to run on other workers: quarantines a worker whose
+ * failures in a row are all of that job. True when it did. */
+bool cw_worker_health_class_works(struct cw_worker_health *h,
+                                  uint64_t job_hash,
+                                  const struct cw_place_params *params,
+                                  cw_ms now);
 /* True when the worker may be given one more task now. */
 bool cw_worker_health_usable(const struct cw_worker_health *h, cw_ms now);
 /* The worker was given a task; a quarantined one counts it as its probe. */
