--- a/tests/proc_fleet_observe.c
+++ b/tests/proc_fleet_observe.c
@@ -64,9 +64,11 @@
 {
     char targets[256] = "";
     char verify[32];
-    const char *argv[32] = {"standin-load", "--target", targets, "--service",
-                            services,       "--verify", verify};
-    int n = 7;
+    /* Each load has tokens of its own, unless extra says otherwise. */
+    const char *argv[32] = {"standin-load", "--target", targets,
+                            "--service",    services,   "--verify",
+                            verify,         "--tag",    name};
+    int n = 9;
     size_t len = 0;
     for (int i = 0; i < f->o.daemons; i++) {
         if ((daemon_mask >> (unsigned)i & 1U) != 0) {
--- /dev/null
+++ b/tests/test_proc_members.c
@@ -0,0 +1,149 @@
+/* Guards the slot limit and the membership when daemons die, freeze and wake:
+ * an endpoint is never offered more than its 8 slots, and a woken daemon does
+ * no work before its membership is confirmed. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "proc_fleet.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct proc_fleet fleet;
+
+static int
+setup(void **state)
+{
+    static const struct proc_fleet_options o = {
+        .services = 1,
+        .vms = 3,
+        .dcs = 1,
+        .daemons = 3,
+        .settings = ",\"heartbeat_ms\":200,\"silent_ms\":1000,"
+                    "\"slot_guard_ms\":1500,\"probe_ms\":200",
+        .document = "",
+    };
+    *state = &fleet;
+    return proc_fleet_start(&fleet, &o) ? 0 : -1;
+}
+
+static int
+teardown(void **state)
+{
+    proc_fleet_finish(*state, false);
+    return 0;
+}
+
+/* Enough callers to keep every slot of the fleet busy. */
+static struct proc *
+saturate(struct proc_fleet *f, const char *name, unsigned daemons)
+{
+    return proc_fleet_load(f, name, daemons, "s1",
+                           (const char *[]){"--closed", "48", "--work-ms",
+                                            "60", "--seconds", "120",
+                                            "--deadline", "2000", NULL});
+}
+
+static void
+check_limits(struct proc_fleet *f, struct proc *load)
+{
+    proc_signal(load, SIGTERM);
+    assert_int_equal(proc_wait(load, PROC_LIMIT_MS), 0);
+    assert_true(proc_fleet_load_value(f, load, "ok") > 0);
+    assert_int_equal(proc_fleet_load_value(f, load, "not_run_but_ran"), 0);
+    assert_int_equal(proc_fleet_load_value(f, load, "ran_twice"), 0);
+    assert_int_equal(proc_fleet_load_value(f, load, "wrong"), 0);
+    for (int vm = 0; vm < f->vm_count; vm++) {
+        assert_in_range(proc_fleet_counter(f, vm, "peak"), 1, 8);
+        assert_in_range(proc_fleet_counter(f, vm, "connections_peak"), 1, 64);
+    }
+}
+
+/* Requests that a dead daemon had in flight still run: its slots must not be
+ * used by others before they cannot be in use any more. */
+static void
+test_kill(void **state)
+{
+    struct proc_fleet *f = *state;
+    struct proc *load = saturate(f, "load", 7);
+    proc_sleep_ms(1000);
+    proc_signal(f->daemons[2], SIGKILL);
+    assert_true(proc_fleet_wait_member(f, 0, "d3", false));
+    assert_true(proc_fleet_wait_slots(f, 3));
+    proc_fleet_start_daemon(f, 2);
+    assert_true(proc_fleet_wait_ready(f, 2));
+    assert_true(proc_fleet_wait_slots(f, 7));
+    proc_sleep_ms(1000);
+    check_limits(f, load);
+}
+
+struct incarnation_wait {
+    struct proc_fleet *f;
+    int64_t before;
+};
+
+static bool
+has_new_incarnation(void *arg)
+{
+    const struct incarnation_wait *w = arg;
+    return proc_fleet_status(w->f, 1, "incarnation") > w->before;
+}
+
+/* A frozen daemon that wakes up finds requests and timers that are due. It was
+ * lapsed and its slots were given away meanwhile. */
+static void
+test_freeze_and_wake(void **state)
+{
+    struct proc_fleet *f = *state;
+    struct incarnation_wait w = {f, proc_fleet_status(f, 1, "incarnation")};
+    struct proc *load = saturate(f, "load", 7);
+    proc_sleep_ms(1000);
+    proc_signal(f->daemons[1], SIGSTOP);
+    assert_true(proc_fleet_wait_member(f, 0, "d2", false));
+    assert_true(proc_fleet_wait_slots(f, 5));
+    proc_signal(f->daemons[1], SIGCONT);
+    assert_true(proc_until(has_new_incarnation, &w, PROC_LIMIT_MS));
+    assert_true(proc_fleet_wait_ready(f, 1));
+    assert_true(proc_fleet_wait_slots(f, 7));
+    proc_sleep_ms(1000);
+    check_limits(f, load);
+}
+
+/* While the log is away the membership cannot change: a dead daemon's slots
+ * stay unused, and the others go on with their own. */
+static void
+test_kill_in_log_outage(void **state)
+{
+    struct proc_fleet *f = *state;
+    struct proc *load = saturate(f, "load", 3);
+    assert_true(proc_fleet_fault(f, "{\"log\":\"down\"}"));
+    proc_signal(f->daemons[2], SIGKILL);
+    proc_sleep_ms(4000);
+    assert_true(proc_fleet_is_member(f, 0, "d3"));
+    int64_t before = proc_fleet_counter(f, 0, "runs");
+    proc_sleep_ms(500);
+    assert_true(proc_fleet_counter(f, 0, "runs") > before);
+    assert_true(proc_fleet_fault(f, "{\"log\":\"up\"}"));
+    assert_true(proc_fleet_wait_member(f, 0, "d3", false));
+    assert_true(proc_fleet_wait_slots(f, 3));
+    check_limits(f, load);
+}
+
+int
+main(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_kill, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_freeze_and_wake, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_kill_in_log_outage, setup,
+                                        teardown),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
