Release the load client's options at its end

Cause: the leak checker ended standin-load with 1 in the sanitizer build, so that every process test with load failed there. Change: free the option strings and the tokens; a test's load gets a tag only when the test gives none, because popt keeps the first of two values.

--- a/standins/load_main.c
+++ b/standins/load_main.c
@@ -101,6 +101,9 @@
         poptPrintUsage(popt, stderr, 0);
     }
     poptFreeContext(popt);
+    free(targets);
+    free(services);
+    free(verify);
     return ok;
 }
 
@@ -129,11 +132,12 @@
     };
     signal(SIGPIPE, SIG_IGN);
     l.loop = uv_default_loop();
-    l.method = strdup("POST");
-    l.tag = strdup("t");
     if (!parse_options(&l, argc, argv)) {
         return 2;
     }
+    l.method = l.method == NULL ? strdup("POST") : l.method;
+    l.tag = l.tag == NULL ? strdup("t") : l.tag;
+    CW_INVARIANT(l.method != NULL && l.tag != NULL);
     uv_signal_t term;
     uv_signal_init(l.loop, &term);
     term.data = &l;
@@ -143,5 +147,8 @@
     load_start(&l);
     uv_run(l.loop, UV_RUN_DEFAULT);
     load_print(&l, stdout);
+    free(l.method);
+    free(l.tag);
+    free(l.tokens);
     return l.total.wrong == 0 && l.not_run_but_ran == 0 ? 0 : 1;
 }
--- a/tests/proc_fleet_observe.c
+++ b/tests/proc_fleet_observe.c
@@ -64,11 +64,10 @@
 {
     char targets[256] = "";
     char verify[32];
-    /* Each load has tokens of its own, unless extra says otherwise. */
-    const char *argv[32] = {"standin-load", "--target", targets,
-                            "--service",    services,   "--verify",
-                            verify,         "--tag",    name};
-    int n = 9;
+    const char *argv[32] = {"standin-load", "--target", targets, "--service",
+                            services,       "--verify", verify};
+    int n = 7;
+    bool tagged = false;
     size_t len = 0;
     for (int i = 0; i < f->o.daemons; i++) {
         if ((daemon_mask >> (unsigned)i & 1U) != 0) {
@@ -78,9 +77,15 @@
         }
     }
     snprintf(verify, sizeof(verify), "127.0.0.1:%d", f->vms[0].control);
-    for (int i = 0; extra[i] != NULL && n < 31; i++) {
+    for (int i = 0; extra[i] != NULL && n < 29; i++) {
+        tagged |= strcmp(extra[i], "--tag") == 0;
         argv[n++] = extra[i];
     }
+    /* Each load has tokens of its own, unless extra says otherwise. */
+    if (!tagged) {
+        argv[n++] = "--tag";
+        argv[n++] = name;
+    }
     return proc_start(&f->env, name, argv);
 }
 
