Let workers forget finished tasks; test placement with real processes

Cause: nobody told a worker that a finished task was recorded, so its report kept every task that ever ran on it. A task whose job left the documents while the cell had no holder was not stopped either.

Change: an ended record carries the fence of the start, and once it is read back the worker is told to forget that start. Entries of a report that the cell does not have there are dropped the same way, after all own records are read back and only for starts that were read, so no outcome is lost. An ended record also names the worker now.

--- a/packages/daemon/ctl_place_calls.c
+++ b/packages/daemon/ctl_place_calls.c
@@ -7,6 +7,24 @@
 
 /* ---- reports ----------------------------------------------------------- */
 
+/* Tells the worker to forget a task that the cell does not have there: its
+ * stop was lost, or its job left the documents while nobody held the cell.
+ * Only once all our records are read back, so that no outcome is lost with the
+ * entry, and only for starts that we have read, so that a former holder never
+ * stops what the next one started. A checkpoint stays until the next start. */
+static void
+drop_leftover(struct place_cell *c, struct cw_str worker,
+              const struct cw_task_report *r)
+{
+    const struct cw_place_task *t =
+        cw_place_task(&c->place, cw_name_str(&r->task));
+    bool placed = t != NULL && t->worker != NULL && t->fence == r->fence;
+    if (!placed && c->pending == NULL && r->fence < c->next &&
+        r->state != CW_TASK_CHECKPOINTED) {
+        place_call_stop(c, cw_name_str(&r->task), worker, r->fence);
+    }
+}
+
 static void
 take_report(struct place_cell *c, const struct cw_worker_report *r, cw_ms now)
 {
@@ -42,6 +60,9 @@
                            cw_name_str(&r->rack), size, seen, r->task_count,
                            now, place_act, c);
     free(seen);
+    for (size_t i = 0; i < r->task_count; i++) {
+        drop_leftover(c, cw_name_str(&r->worker), &r->tasks[i]);
+    }
 }
 
 static void
@@ -220,9 +241,10 @@
 {
     const char *worker = a->worker.ptr == NULL ? "" : a->worker.ptr;
     place_record(c, type,
-                 json_pack("{ss,ss%,sI,ss}", "task", a->task->name.text,
+                 json_pack("{ss,ss%,sI,sI,ss}", "task", a->task->name.text,
                            "worker", worker, a->worker.len, "attempt",
-                           (json_int_t)a->task->attempt, "result", a->text),
+                           (json_int_t)a->task->attempt, "fence",
+                           (json_int_t)a->task->fence, "result", a->text),
                  true);
 }
 
--- a/packages/daemon/ctl_place_stream.c
+++ b/packages/daemon/ctl_place_stream.c
@@ -237,11 +237,17 @@
 static void
 take_ended(struct place_cell *c, const json_t *o, bool own)
 {
+    struct cw_str task = text_of(o, "task");
     bool done = cw_str_eq(text_of(o, "result"), CW_LIT("done"));
     if (!own || c->phase != PLACE_ACTIVE) {
-        cw_place_replay_ended(&c->place, text_of(o, "task"),
+        cw_place_replay_ended(&c->place, task,
                               (uint32_t)number_of(o, "attempt"), done,
                               cw_daemon_now(c->ctl->d));
+        return;
+    }
+    /* A worker reports a finished task until it is told to forget it. */
+    if (done || cw_str_eq(text_of(o, "result"), CW_LIT("failed"))) {
+        place_call_stop(c, task, text_of(o, "worker"), number_of(o, "fence"));
     }
 }
 
--- a/packages/policy/cw_place_outcome.c
+++ b/packages/policy/cw_place_outcome.c
@@ -18,6 +18,9 @@
         return;
     }
     struct cw_place_action a = {kind, t, {NULL, 0}, t->given, ""};
+    if (t->worker != NULL) {
+        a.worker = cw_name_str(&t->worker->name);
+    }
     snprintf(a.text, sizeof(a.text), "%s", text);
     o->act(o->ctx, &a);
 }
@@ -126,9 +129,9 @@
     if (t->peak.cpu_milli > 0 || t->peak.memory_mb > 0) {
         cw_place_class_sample(c, t->peak.cpu_milli, t->peak.memory_mb);
     }
+    emit(o, CW_PLACE_RECORD_ENDED, t, "done");
     cw_place_release(t);
     cw_place_set_state(o->p, t, CW_PLACE_DONE, o->now);
-    emit(o, CW_PLACE_RECORD_ENDED, t, "done");
 }
 
 static void
--- /dev/null
+++ b/tests/test_proc_place_faults.c
@@ -0,0 +1,126 @@
+/* Guards job placement against faults with real processes: no task runs twice,
+ * whoever dies, freezes or loses an answer. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "place_fixture.h"
+
+#include <signal.h>
+
+/* Longer than the lease of 30 s that a task is started with. */
+#define OVER_LEASE_MS 36000
+
+/* Guards against a new holder that starts what runs already, or that does not
+ * go on with the leases and outcomes of the tasks. */
+static void
+test_holder_killed(void **state)
+{
+    (void)state;
+    struct place_fixture f;
+    place_begin(&f, "");
+    place_put_job(&f, "stock", 0, 20, 1000, 12000, "");
+    bool good = cluster_wait(&f.jobs, "start", NULL, NULL, 16, PROC_LIMIT_MS);
+    if (good) {
+        struct proc *old = place_holder(&f);
+        proc_signal(old, SIGKILL);
+        good = place_wait_replaced(&f, old) &&
+               place_wait_done(&f, 20, LEASE_LIMIT_MS);
+    }
+    good = place_ran_once(&f, 20) && good;
+    place_end(&f, good);
+}
+
+/* Appends a start of a daemon that no longer holds the cell, as if its append
+ * had been under way while it was frozen. */
+static bool
+append_late_start(struct place_fixture *f, const json_t *old_claim)
+{
+    char json[512];
+    snprintf(json, sizeof(json),
+             "{\"type\":\"start\",\"id\":\"late-1\",\"by\":\"%s\","
+             "\"epoch\":%lld,\"time\":1,\"task\":\"stock.job.0\","
+             "\"worker\":\"w4\",\"attempt\":9,\"cpu_milli\":1000,"
+             "\"memory_mb\":100,\"accelerators\":0}",
+             cluster_text(old_claim, "by"),
+             (long long)cluster_number(old_claim, "epoch"));
+    return cluster_append(&f->cluster, "jobs-0", json) > 0;
+}
+
+/* Guards against a holder that is frozen past its lease and acts on what it
+ * held before, and against a late start record that has an effect. */
+static void
+test_holder_frozen(void **state)
+{
+    (void)state;
+    struct place_fixture f;
+    place_begin(&f, "");
+    place_put_job(&f, "stock", 0, 8, 1000, 50000, "");
+    bool good = cluster_wait(&f.jobs, "start", NULL, NULL, 8, PROC_LIMIT_MS);
+    if (good) {
+        struct proc *old = place_holder(&f);
+        json_t *claim =
+            json_deep_copy(cluster_last(&f.jobs, "claim", NULL, NULL));
+        proc_signal(old, SIGSTOP);
+        good = place_wait_replaced(&f, old) && append_late_start(&f, claim);
+        json_decref(claim);
+        proc_sleep_ms(OVER_LEASE_MS);
+        proc_signal(old, SIGCONT);
+        good = good && place_wait_done(&f, 8, LEASE_LIMIT_MS);
+    }
+    good = place_ran_once(&f, 8) && good;
+    place_end(&f, good);
+}
+
+/* Guards against tasks that end because their leases are not renewed while the
+ * log is away, and against outcomes of that time that are forgotten. */
+static void
+test_log_outage(void **state)
+{
+    (void)state;
+    struct place_fixture f;
+    place_begin(&f, "");
+    place_put_job(&f, "stock", 0, 4, 1000, 45000, "");
+    place_put_job(&f, "roster", 0, 4, 1000, 8000, "");
+    bool good = cluster_wait(&f.jobs, "start", NULL, NULL, 8, PROC_LIMIT_MS);
+    cluster_fault(&f.cluster, "{\"log\":\"down\"}");
+    proc_sleep_ms(OVER_LEASE_MS);
+    cluster_fault(&f.cluster, "{\"log\":\"up\"}");
+    good = good && place_wait_done(&f, 8, LEASE_LIMIT_MS);
+    good = place_ran_once(&f, 8) && good;
+    place_end(&f, good);
+}
+
+/* Guards against a task that is started again because the answer to its start
+ * was lost. */
+static void
+test_lost_answers(void **state)
+{
+    (void)state;
+    struct place_fixture f;
+    place_begin(&f, "");
+    cluster_fault(&f.cluster, "{\"worker\":\"lose\",\"lose_calls\":6}");
+    place_put_job(&f, "stock", 0, 8, 1000, 3000, "");
+    bool good = place_wait_done(&f, 8, LEASE_LIMIT_MS);
+    good = place_ran_once(&f, 8) && good;
+    place_end(&f, good);
+}
+
+/* With an argument, runs only the tests whose names match the pattern. */
+int
+main(int argc, char **argv)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_holder_killed),
+        cmocka_unit_test(test_holder_frozen),
+        cmocka_unit_test(test_log_outage),
+        cmocka_unit_test(test_lost_answers),
+    };
+    if (argc > 1) {
+        cmocka_set_test_filter(argv[1]);
+    }
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
