Add the command jobs

Operators could not see what became of a job without reading the log of its cell. `cuminwalk jobs [SERVICE]` replays the streams jobs-0.. with the daemons' fencing and prints each task's last state, worker, attempt and reason, as text or JSON. A stream without records ends the list of cells.

--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -52,6 +52,7 @@
 int cli_status(struct cli *c);
 int cli_moves(struct cli *c);
 int cli_report(struct cli *c);
+int cli_jobs(struct cli *c);
 
 /* ---- HTTP ----------------------------------------------------------- */
 
@@ -90,6 +91,13 @@
  * CW_ERR_UNAVAILABLE or CW_ERR_INVALID. */
 enum cw_status cli_log_append(struct cli *c, const struct cw_record *r,
                               cw_ms timeout_ms);
+/* Calls each for every record that a stream still keeps. *exists is false for
+ * a stream that never had a record. */
+enum cw_status cli_stream_read(struct cli *c, const char *stream,
+                               enum cw_status (*each)(void *ctx,
+                                                      uint64_t offset,
+                                                      const json_t *record),
+                               void *ctx, bool *exists);
 /* Loads the log or prints why not; returns an exit code. */
 int cli_open_log(struct cli *c, struct cli_log *l);
 
--- a/packages/cli/cli_log.c
+++ b/packages/cli/cli_log.c
@@ -47,12 +47,14 @@
 /* Reads one page. CW_ERR_NOT_FOUND when from is no longer kept; page->first
  * then says what is. */
 static enum cw_status
-read_page(struct cli *c, uint64_t from, cw_ms wait_ms, struct page *p)
+read_stream(struct cli *c, const char *stream, uint64_t from, cw_ms wait_ms,
+            struct page *p)
 {
     memset(p, 0, sizeof(*p));
     char path[128];
-    snprintf(path, sizeof(path), "/log/config?from=%llu&max=%d&wait_ms=%lld",
-             (unsigned long long)from, PAGE_RECORDS, (long long)wait_ms);
+    snprintf(path, sizeof(path), "/log/%s?from=%llu&max=%d&wait_ms=%lld",
+             stream, (unsigned long long)from, PAGE_RECORDS,
+             (long long)wait_ms);
     struct cli_reply reply;
     enum cw_status s =
         cli_http(c, c->platform, path, NULL, READ_MS + wait_ms, &reply);
@@ -93,6 +95,12 @@
     return CW_OK;
 }
 
+static enum cw_status
+read_page(struct cli *c, uint64_t from, cw_ms wait_ms, struct page *p)
+{
+    return read_stream(c, "config", from, wait_ms, p);
+}
+
 static void
 apply_text(struct cli_log *l, uint64_t offset, cw_ms time, const char *text)
 {
@@ -323,6 +331,45 @@
     return CLI_OK;
 }
 
+/* ---- other streams -------------------------------------------------- */
+
+enum cw_status
+cli_stream_read(struct cli *c, const char *stream,
+                enum cw_status (*each)(void *ctx, uint64_t offset,
+                                       const json_t *record),
+                void *ctx, bool *exists)
+{
+    uint64_t from = 1;
+    bool more = true;
+    *exists = false;
+    while (more) {
+        struct page p;
+        enum cw_status s = read_stream(c, stream, from, 0, &p);
+        if (s == CW_ERR_NOT_FOUND && p.first > from) {
+            from = p.first; /* older records are no longer kept */
+            continue;
+        }
+        if (s != CW_OK) {
+            return s;
+        }
+        for (size_t i = 0; s == CW_OK && i < json_array_size(p.records); i++) {
+            const json_t *v = json_array_get(p.records, i);
+            s = each(
+                ctx,
+                (uint64_t)json_integer_value(json_object_get(v, "offset")),
+                json_object_get(v, "data"));
+        }
+        more = json_array_size(p.records) > 0;
+        *exists = *exists || p.next > 1;
+        from = p.next;
+        json_decref(p.json);
+        if (s != CW_OK) {
+            return s;
+        }
+    }
+    return CW_OK;
+}
+
 /* ---- append --------------------------------------------------------- */
 
 enum cw_status
--- a/packages/cli/cli_run.c
+++ b/packages/cli/cli_run.c
@@ -22,6 +22,8 @@
     "  history SERVICE   list the edits of a document\n"
     "  status            members, services, open operations and waves\n"
     "  moves             VM moves with their causes (--from, --to)\n"
+    "  jobs [SERVICE]    tasks of placed jobs: state, worker, attempt, "
+    "reason\n"
     "  report            availability, buffer cost, roll-out, moves\n"
     "                    (--from, --to, --format text|json|csv)\n"
     "\n"
@@ -49,6 +51,7 @@
     {"apply", cli_apply, 1, 1},     {"get", cli_get, 1, 1},
     {"history", cli_history, 1, 1}, {"status", cli_status, 0, 0},
     {"moves", cli_moves, 0, 0},     {"report", cli_report, 0, 0},
+    {"jobs", cli_jobs, 0, 1},
 };
 
 /* Option values as popt delivers them; the strings are freed at the end. */
