Find starts that never reached their worker

Cause: a holder that died between a start record and the call left a task that the next holder took for running. Worker reports are of changes only, so an idle worker never showed that the task was missing, and the task waited for ever. The same held for a start whose outcome is unknown.

Conclusion: every recorded start either runs or is declared lost.

--- a/packages/daemon/ctl_place.c
+++ b/packages/daemon/ctl_place.c
@@ -59,6 +59,7 @@
     c->appending = false;
     c->reporting = false;
     c->report_version = 0;
+    c->full_report_at = 0;
     c->state_version = 0;
     c->claimed = 0;
     cw_log(CW_INFO, "cell_dropped", "cell=%u epoch=%llu", c->n,
--- a/packages/daemon/ctl_place.h
+++ b/packages/daemon/ctl_place.h
@@ -46,6 +46,7 @@
     struct place_pending *pending;
     uint64_t report_version;
     cw_ms report_at;
+    cw_ms full_report_at; /* all workers are read again then, 0 for never */
     cw_ms read_at;
     cw_ms tick_at;
     cw_ms carried_at;
@@ -97,6 +98,9 @@
 
 /* ctl_place_calls.c */
 void place_reports_tick(struct place_cell *c, cw_ms now);
+/* Has all workers read again after some time: reports are of changes only, so
+ * a start that never reached its worker does not show in them. */
+void place_check_starts(struct place_cell *c, cw_ms now);
 void place_act(void *ctx, const struct cw_place_action *a);
 /* The start record of the task is in force at offset: calls the worker. */
 void place_call_start(struct place_cell *c, const struct cw_place_task *t,
--- a/packages/daemon/ctl_place_calls.c
+++ b/packages/daemon/ctl_place_calls.c
@@ -5,6 +5,12 @@
 
 #define REPORT_MS (2 * CW_SECOND)
 
+void
+place_check_starts(struct place_cell *c, cw_ms now)
+{
+    c->full_report_at = now + c->place.params.absent_ms + REPORT_MS;
+}
+
 /* ---- reports ----------------------------------------------------------- */
 
 /* Tells the worker to forget a task that the cell does not have there: its
@@ -98,6 +104,10 @@
     }
     c->reporting = true;
     c->report_at = now;
+    if (c->full_report_at != 0 && now >= c->full_report_at) {
+        c->full_report_at = 0;
+        c->report_version = 0;
+    }
     d->worker.reports(d->worker.ctx, c->n, (uint32_t)c->ctl->count,
                       c->report_version, on_reports, call);
 }
@@ -107,8 +117,11 @@
 static void
 on_start(struct place_cell *c, const struct place_call *call, enum cw_status s)
 {
-    /* After an unknown outcome the reports tell whether the task runs. */
-    if (s == CW_OK || s == CW_ERR_UNKNOWN) {
+    if (s == CW_OK) {
+        return;
+    }
+    if (s == CW_ERR_UNKNOWN) {
+        place_check_starts(c, cw_daemon_now(c->ctl->d));
         return;
     }
     struct cw_str task = cw_name_str(&call->task);
--- a/packages/daemon/ctl_place_stream.c
+++ b/packages/daemon/ctl_place_stream.c
@@ -187,6 +187,8 @@
                 number_of(o, "incarnation") == d->incarnation;
     if (ours && c->phase == PLACE_CLAIMING) {
         c->phase = PLACE_ACTIVE;
+        /* The earlier holder may have died before it called a worker. */
+        place_check_starts(c, cw_daemon_now(d));
         cw_log(CW_INFO, "cell_active", "cell=%u epoch=%llu running=%zu", c->n,
                (unsigned long long)epoch,
                cw_place_count(&c->place, CW_PLACE_RUNNING));
--- a/tests/test_proc_place_faults.c
+++ b/tests/test_proc_place_faults.c
@@ -75,6 +75,39 @@
     place_end(&f, good);
 }
 
+/* Guards against a task that waits for ever because its holder died between
+ * the start record and the call of the worker. */
+static void
+test_start_not_called(void **state)
+{
+    (void)state;
+    struct place_fixture f;
+    place_begin(&f, "");
+    bool good = cluster_wait(&f.jobs, "claim", NULL, NULL, 1, PROC_LIMIT_MS);
+    /* The cell may change hands once more while the daemons join. */
+    proc_sleep_ms(3000);
+    good = good && cluster_read(&f.jobs);
+    if (good) {
+        struct proc *old = place_holder(&f);
+        const json_t *claim = cluster_last(&f.jobs, "claim", NULL, NULL);
+        char json[512];
+        proc_signal(old, SIGSTOP);
+        place_put_job(&f, "stock", 0, 1, 1000, 1000, "");
+        snprintf(json, sizeof(json),
+                 "{\"type\":\"start\",\"id\":\"uncalled-1\",\"by\":\"%s\","
+                 "\"epoch\":%lld,\"time\":1,\"task\":\"stock.job.0\","
+                 "\"worker\":\"w1\",\"attempt\":1,\"cpu_milli\":1000,"
+                 "\"memory_mb\":100,\"accelerators\":0}",
+                 cluster_text(claim, "by"),
+                 (long long)cluster_number(claim, "epoch"));
+        good = cluster_append(&f.cluster, "jobs-0", json) > 0;
+        proc_signal(old, SIGKILL);
+        good = good && place_wait_done(&f, 1, LEASE_LIMIT_MS);
+    }
+    good = place_ran_once(&f, 1) && good;
+    place_end(&f, good);
+}
+
 /* Guards against tasks that end because their leases are not renewed while the
  * log is away, and against outcomes of that time that are forgotten. */
 static void
@@ -116,6 +149,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_holder_killed),
         cmocka_unit_test(test_holder_frozen),
+        cmocka_unit_test(test_start_not_called),
         cmocka_unit_test(test_log_outage),
         cmocka_unit_test(test_lost_answers),
     };
