Judge keyed requests by the admission rule

Cause: the test before a keyed request's intent had its own rule, which ignores the order by deadline and overestimates the wait. Change: it calls cw_admit_late, the test that cw_admit_offer applies. Figures: test_front passes. Conclusion: one rule for both.

--- a/packages/daemon/dispatch.c
+++ b/packages/daemon/dispatch.c
@@ -173,15 +173,8 @@
 static bool
 hopeless(const struct cw_request *r, const struct cw_service *s)
 {
-    cw_ms now = cw_daemon_now(r->d);
-    double wait;
-
-    if (s->queue.count == 0) {
-        return false;
-    }
-    wait = cw_admit_wait_ms(&s->queue, cw_hash(cw_name_str(&r->caller), 0),
-                            r->priority, now);
-    return wait > (double)(r->deadline - now);
+    return cw_admit_late(&s->queue, cw_hash(cw_name_str(&r->caller), 0),
+                         r->priority, r->deadline, cw_daemon_now(r->d));
 }
 
 void
