Drain 100 times under load

Cause: the promise that no drain cuts a request was tested with one drain. Change: test_proc_drains drains and reboots 8 VMs in turn, 3 at once, while some requests take 15 times as long as the others.

--- /dev/null
+++ b/tests/test_proc_drains.c
@@ -0,0 +1,156 @@
+/* Guards graceful drains in number: 100 drains and reboots under load, some
+ * requests far longer than the others, and none of them cut. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "proc_fleet.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define VMS 8
+#define AT_ONCE 3 /* leaves VMs in both data centres */
+#define DRAINS 100
+
+static struct proc_fleet fleet;
+
+struct round {
+    struct proc_fleet *f;
+    int vms[AT_ONCE];
+    int count;
+    int64_t incarnation[AT_ONCE];
+};
+
+static void
+call(const struct round *r, int i, const char *what, uint64_t fence)
+{
+    char path[32];
+    char body[128];
+    snprintf(path, sizeof(path), "/pool/%s", what);
+    snprintf(body, sizeof(body),
+             "{\"vm\":\"%s\",\"op\":\"t%llu\",\"fence\":%llu}",
+             r->f->vms[r->vms[i]].name, (unsigned long long)(fence / 2),
+             (unsigned long long)fence);
+    json_decref(proc_json(r->f->platform->port, path, body));
+}
+
+static bool
+all_drained(void *arg)
+{
+    const struct round *r = arg;
+    for (int i = 0; i < r->count; i++) {
+        char path[64];
+        snprintf(path, sizeof(path), "/pool/vm/%s", r->f->vms[r->vms[i]].name);
+        json_t *o = proc_json(r->f->platform->port, path, NULL);
+        const char *s = json_string_value(json_object_get(o, "state"));
+        bool yes = s != NULL && strcmp(s, "drained") == 0;
+        json_decref(o);
+        if (!yes) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+all_back(void *arg)
+{
+    const struct round *r = arg;
+    for (int i = 0; i < r->count; i++) {
+        if (proc_fleet_counter(r->f, r->vms[i], "incarnation") <=
+            r->incarnation[i]) {
+            return false;
+        }
+    }
+    return proc_fleet_wait_slots(r->f, 7);
+}
+
+static void
+run_round(struct round *r, uint64_t fence)
+{
+    for (int i = 0; i < r->count; i++) {
+        r->incarnation[i] = proc_fleet_counter(r->f, r->vms[i], "incarnation");
+        call(r, i, "drain", fence);
+    }
+    assert_true(proc_until(all_drained, r, PROC_LIMIT_MS));
+    for (int i = 0; i < r->count; i++) {
+        call(r, i, "reboot", fence + 1);
+    }
+    assert_true(proc_until(all_back, r, PROC_LIMIT_MS));
+}
+
+static void
+check_no_cut(struct proc_fleet *f, struct proc *load)
+{
+    static const char *const none[] = {
+        "wrong",   "cut",       "lost",      "late",
+        "unknown", "run_error", "ran_twice", "not_run_but_ran",
+    };
+    proc_signal(load, SIGTERM);
+    assert_int_equal(proc_wait(load, PROC_LIMIT_MS), 0);
+    assert_true(proc_fleet_load_value(f, load, "ok") > 0);
+    for (size_t i = 0; i < COUNT(none); i++) {
+        if (proc_fleet_load_value(f, load, none[i]) != 0) {
+            fail_msg("%s=%lld", none[i],
+                     (long long)proc_fleet_load_value(f, load, none[i]));
+        }
+    }
+}
+
+/* A drain that ends while a long request is still in flight would cut it. */
+static void
+test_hundred_drains(void **state)
+{
+    (void)state;
+    static const struct proc_fleet_options o = {
+        .services = 1,
+        .vms = VMS,
+        .dcs = 2,
+        .daemons = 3,
+        .settings = ",\"heartbeat_ms\":200,\"silent_ms\":1000,"
+                    "\"slot_guard_ms\":1500,\"probe_ms\":200",
+        .document = "",
+    };
+    struct proc_fleet *f = &fleet;
+    assert_true(proc_fleet_start(f, &o));
+    struct proc *quick = proc_fleet_load(
+        f, "quick", 7, "s1",
+        (const char *[]){"--rate", "60", "--work-ms", "100", "--seconds",
+                         "280", "--answer-bytes", "20000", NULL});
+    struct proc *slow = proc_fleet_load(
+        f, "slow", 7, "s1",
+        (const char *[]){"--rate", "4", "--work-ms", "1500", "--seconds",
+                         "280", "--tag", "slow", NULL});
+    int next = 0;
+    uint64_t fence = 2;
+    for (int done = 0; done < DRAINS;) {
+        struct round r = {.f = f};
+        while (r.count < AT_ONCE && done < DRAINS) {
+            r.vms[r.count++] = next;
+            next = (next + 1) % VMS;
+            done++;
+        }
+        run_round(&r, fence);
+        fence += 2;
+    }
+    check_no_cut(f, quick);
+    check_no_cut(f, slow);
+    assert_int_equal(
+        proc_json_number(f->platform->port, "/violations", "total"), 0);
+    proc_fleet_finish(f, false);
+}
+
+int
+main(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_hundred_drains),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
