Probe endpoints that did not answer again soon

Cause: all endpoints were probed at one interval, which grows with the fleet to about 75 s at 4,100 VMs. A VM whose first probe failed while it was still starting waited out that interval; with probe_ms 15000 no request reached a ready endpoint. Ruled out: readiness does not expire between probes.

--- a/packages/daemon/probes.c
+++ b/packages/daemon/probes.c
@@ -15,6 +15,8 @@
 /* Failed connects and timeouts in a row until an endpoint is not ready; one
  * alone may be a lost packet or a full accept queue. */
 #define PROBE_FAILS 2
+/* Time between two looks at which runners are due. */
+#define SCAN_MS 100
 
 struct probe {
     struct cw_daemon *d;
@@ -30,13 +32,13 @@
     h2o_http1client_ctx_t ctx;
     h2o_timeout_t io_timeout;
     struct cw_list all;
-    /* Runners that this daemon probes, in the order in which they are due.
-     * Made again when the state has changed: finding the owner of thousands of
-     * runners in each tick took 13% of a core. */
+    /* Runners that this daemon probes. Made again when the state has changed:
+     * finding the owner of thousands of runners in each tick took 13% of a
+     * core. */
     uint64_t state_version;
     size_t mine_count;
-    size_t cursor; /* due next */
     struct cw_runner **mine;
+    cw_ms scanned_at;
 };
 
 static void
@@ -168,15 +170,6 @@
     return best;
 }
 
-static int
-compare_probed(const void *a, const void *b)
-{
-    const struct cw_runner *x = *(struct cw_runner *const *)a;
-    const struct cw_runner *y = *(struct cw_runner *const *)b;
-
-    return (x->probed_at > y->probed_at) - (x->probed_at < y->probed_at);
-}
-
 static void
 find_mine(struct cw_daemon *d)
 {
@@ -191,7 +184,6 @@
     free(p->mine);
     p->mine = mine;
     p->mine_count = 0;
-    p->cursor = 0;
     p->state_version = d->state.version;
     for (size_t i = 0; i < all->count; i++) {
         const struct cw_member_entry *m = cw_probes_owner(d, all->items[i]);
@@ -200,7 +192,6 @@
             mine[p->mine_count++] = all->items[i];
         }
     }
-    qsort(mine, p->mine_count, sizeof(struct cw_runner *), compare_probed);
 }
 
 void
@@ -212,8 +203,8 @@
     }
 }
 
-/* Time between two probes of one runner: longer when there are many, so that
- * all together stay under the limit. */
+/* Time between two probes of a ready runner: longer when there are many, so
+ * that all together stay under the limit. */
 static cw_ms
 probe_interval(const struct cw_daemon *d)
 {
@@ -223,11 +214,34 @@
     return all > d->settings->probe_ms ? all : d->settings->probe_ms;
 }
 
-void
-cw_probes_tick(struct cw_daemon *d, cw_ms now)
+/* A runner that did not answer is asked again soon, and less often the longer
+ * it stays away: a VM that returns would wait out the long interval of a large
+ * fleet otherwise. */
+static bool
+is_due(const struct cw_daemon *d, const struct cw_runner *e, cw_ms every,
+       cw_ms now)
 {
-    struct cw_probes *probes = d->probes;
-    struct cw_list *running = &probes->all;
+    cw_ms wait = d->settings->probe_ms;
+
+    if (e->probing) {
+        return false;
+    }
+    if (e->probed_at == 0) {
+        return true;
+    }
+    for (unsigned i = 1; i < e->probe_fails && wait < every; i++) {
+        wait *= 2;
+    }
+    if (e->probe_fails == 0 || wait > every) {
+        wait = every;
+    }
+    return now - e->probed_at >= wait;
+}
+
+static void
+end_late_probes(struct cw_daemon *d, cw_ms now)
+{
+    struct cw_list *running = &d->probes->all;
     struct probe *next;
 
     for (struct probe *p = CW_FIRST(running, struct probe, link); p != NULL;
@@ -237,22 +251,26 @@
             probe_end(p, 0);
         }
     }
+}
+
+void
+cw_probes_tick(struct cw_daemon *d, cw_ms now)
+{
+    struct cw_probes *probes = d->probes;
+    cw_ms every;
+
+    end_late_probes(d, now);
     if (probes->state_version != d->state.version) {
         find_mine(d);
     }
-    cw_ms every = probe_interval(d);
-
-    for (size_t n = 0; n < probes->mine_count; n++) {
-        struct cw_runner *e = probes->mine[probes->cursor];
-
-        bool due = e->probed_at == 0 || now - e->probed_at >= every;
-
-        if (!due && !e->probing) {
-            break;
-        }
-        probes->cursor = (probes->cursor + 1) % probes->mine_count;
-        if (!e->probing) {
-            probe_start(d, e, now);
+    if (now - probes->scanned_at < SCAN_MS) {
+        return;
+    }
+    probes->scanned_at = now;
+    every = probe_interval(d);
+    for (size_t i = 0; i < probes->mine_count; i++) {
+        if (is_due(d, probes->mine[i], every, now)) {
+            probe_start(d, probes->mine[i], now);
         }
     }
 }
