Renew leases again after a start or a withheld call

Cause: the answer of a renewal was matched by the time of its sending. A start on the same worker in between, or a millisecond between the decision and the call, made the answer count for nothing; the worker's lease was then never renewed again by this holder. A renewal that was withheld had the same effect.

Change: each worker has one renewal at a time, so its answer needs no match; a renewal that is not sent counts as failed; a replayed start makes the next renewal due at once.

A unit test covers the start between a renewal and its answer.

--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -37,7 +37,7 @@
 {
     struct scale *s = ctx;
     if (a->kind == CW_PLACE_RENEW) {
-        cw_place_renewed(&s->place, a->worker, s->now, true);
+        cw_place_renewed(&s->place, a->worker, true);
         s->renewals++;
         return;
     }
--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -1972,10 +1972,10 @@
 bool cw_lease_due(const struct cw_lease *l, cw_ms now, cw_ms renew_ms);
 /* True when the holder has to assume that the worker stopped its tasks. */
 bool cw_lease_over(const struct cw_lease *l, cw_ms now, cw_ms guard_ms);
-/* A renewal was answered; sent_at is when it was sent, so that the holder's
- * view never ends later than the worker's. */
-void cw_place_renewed(struct cw_place *p, struct cw_str worker, cw_ms sent_at,
-                      bool ok);
+/* The renewal of a worker was answered; each worker has one at a time. The
+ * lease counts from when it was sent, so that the holder's view never ends
+ * later than the worker's. */
+void cw_place_renewed(struct cw_place *p, struct cw_str worker, bool ok);
 
 #ifdef __cplusplus
 }
--- a/packages/daemon/ctl_place.c
+++ b/packages/daemon/ctl_place.c
@@ -15,7 +15,6 @@
     if (call != NULL) {
         call->cell = c;
         call->generation = c->generation;
-        call->sent_at = cw_daemon_now(c->ctl->d);
         c->ctl->outstanding++;
     }
     return call;
--- a/packages/daemon/ctl_place.h
+++ b/packages/daemon/ctl_place.h
@@ -72,7 +72,6 @@
     struct cw_name task;
     struct cw_name worker;
     uint32_t attempt;
-    cw_ms sent_at;
 };
 
 /* ctl_place.c */
--- a/packages/daemon/ctl_place_calls.c
+++ b/packages/daemon/ctl_place_calls.c
@@ -152,8 +152,17 @@
         on_start(c, &copy, s);
     }
     if (copy.what == CW_WORKER_RENEW) {
-        cw_place_renewed(&c->place, cw_name_str(&copy.worker), copy.sent_at,
-                         s == CW_OK);
+        cw_place_renewed(&c->place, cw_name_str(&copy.worker), s == CW_OK);
+    }
+}
+
+/* Without an answer to wait for, the next renewal has to become due. */
+static void
+call_not_sent(struct place_cell *c, enum cw_worker_call what,
+              const struct cw_task_order *order)
+{
+    if (what == CW_WORKER_RENEW) {
+        cw_place_renewed(&c->place, cw_str_from(order->worker), false);
     }
 }
 
@@ -167,10 +176,12 @@
     if (!cw_daemon_confirmed(d, cw_daemon_now(d))) {
         cw_log(CW_WARN, "worker_call_withheld", "cell=%u worker=%s task=%s",
                c->n, order->worker, order->task);
+        call_not_sent(c, what, order);
         return;
     }
     struct place_call *call = place_call_begin(c);
     if (call == NULL) {
+        call_not_sent(c, what, order);
         return;
     }
     call->what = what;
--- a/packages/policy/cw_place_outcome.c
+++ b/packages/policy/cw_place_outcome.c
@@ -243,11 +243,10 @@
 }
 
 void
-cw_place_renewed(struct cw_place *p, struct cw_str worker, cw_ms sent_at,
-                 bool ok)
+cw_place_renewed(struct cw_place *p, struct cw_str worker, bool ok)
 {
     struct cw_place_worker *w = cw_map_get(&p->maps->workers, worker);
-    if (w == NULL || w->lease.renewed_at != sent_at) {
+    if (w == NULL) {
         return;
     }
     w->lease.renewing = false;
@@ -327,6 +326,8 @@
     cw_place_take(t, w, size);
     /* The earlier holder may have renewed just before it was replaced. */
     cw_lease_grant(&w->lease, now, p->params.lease_ms);
+    /* Or long ago, so the next renewal is due at once. */
+    w->lease.renewed_at = now - p->params.renew_ms;
     cw_place_set_state(
         p, t, t->job->listed ? CW_PLACE_RUNNING : CW_PLACE_STOPPING, now);
 }
--- a/tests/place_model.c
+++ b/tests/place_model.c
@@ -142,7 +142,7 @@
 {
     struct model *m = ctx;
     if (a->kind == CW_PLACE_RENEW) {
-        cw_place_renewed(&m->place, a->worker, m->now,
+        cw_place_renewed(&m->place, a->worker,
                          !m->workers[worker_index(m, a->worker)].away);
         return;
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -301,6 +301,42 @@
     ++*(int *)ctx;
 }
 
+static void
+count_renewal(void *ctx, const struct cw_place_action *a)
+{
+    *(int *)ctx += a->kind == CW_PLACE_RENEW;
+}
+
+/* Guards against a lease that is never renewed again because another task was
+ * started on the worker between a renewal and its answer. */
+static void
+test_start_during_renewal(void **state)
+{
+    (void)state;
+    struct cw_place_params params = cw_place_defaults();
+    struct model m;
+    model_init(&m, &params);
+    cw_place_worker_report(&m.place, CW_LIT("w0"), CW_LIT("r0"), node, NULL, 0,
+                           m.now, NULL, NULL);
+    model_job(&m, "a", "t", 2, small, false);
+    int renewals = 0;
+    cw_place_tick(&m.place, m.now, count_renewal, &renewals);
+    assert_true(cw_place_started(&m.place, CW_LIT("a.job.0"), 1, 1, m.now));
+    m.now += params.renew_ms - 1;
+    cw_place_tick(&m.place, m.now, count_renewal, &renewals);
+    assert_int_equal(renewals, 0);
+    m.now++;
+    cw_place_renew(&m.place, m.now, count_renewal, &renewals);
+    assert_int_equal(renewals, 1);
+    m.now++;
+    assert_true(cw_place_started(&m.place, CW_LIT("a.job.1"), 1, 2, m.now));
+    cw_place_renewed(&m.place, CW_LIT("w0"), true);
+    m.now += params.renew_ms;
+    cw_place_renew(&m.place, m.now, count_renewal, &renewals);
+    assert_int_equal(renewals, 2);
+    model_finish(&m);
+}
+
 /* A start record that is read back too late must not start the task beside
  * its next attempt. */
 static void
@@ -469,6 +505,7 @@
         cmocka_unit_test(test_learned_size),
         cmocka_unit_test(test_cancel_wave),
         cmocka_unit_test(test_lease_lapse),
+        cmocka_unit_test(test_start_during_renewal),
         cmocka_unit_test(test_late_start_record),
         cmocka_unit_test(test_reclaim_borrowed),
         cmocka_unit_test(test_replay_takes_over),
