--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -265,7 +265,7 @@
     char rate[16];
     cw_buf_init(&targets);
     cw_buf_init(&services);
-    for (int i = 0; i < s->daemons; i++) {
+    for (int i = 0; i < s->daemons && daemons[i] != NULL; i++) {
         cw_buf_addf(&targets, "%s127.0.0.1:%d", i == 0 ? "" : ",",
                     daemons[i]->port);
     }
