--- a/packages/daemon/ctl_place.c
+++ b/packages/daemon/ctl_place.c
@@ -41,12 +41,31 @@
     return current;
 }
 
+/* A cell that was given up counts nothing here: its next holder does. */
+static void
+update_metrics(struct place_cell *c, bool held)
+{
+    struct cw_metrics *m = &c->ctl->d->metrics;
+    for (int i = CW_PLACE_WAITING; i <= CW_PLACE_CANCELLED; i++) {
+        char labels[64];
+        snprintf(labels, sizeof(labels), "cell=\"%u\",state=\"%s\"", c->n,
+                 cw_place_state_name((enum cw_place_state)i));
+        double *g = cw_metrics_gauge(m, "cuminwalk_tasks", labels);
+        if (g != NULL) {
+            *g = held ? (double)cw_place_count(&c->place,
+                                               (enum cw_place_state)i)
+                      : 0.0;
+        }
+    }
+}
+
 void
 place_cell_drop(struct place_cell *c)
 {
     if (c->phase == PLACE_IDLE) {
         return;
     }
+    update_metrics(c, false);
     cw_place_finish(&c->place);
     place_stream_clear(c);
     free(c->docs);
@@ -169,21 +188,6 @@
 
 /* ---- ticks ------------------------------------------------------------ */
 
-static void
-update_metrics(struct place_cell *c)
-{
-    struct cw_metrics *m = &c->ctl->d->metrics;
-    for (int i = CW_PLACE_WAITING; i <= CW_PLACE_CANCELLED; i++) {
-        char labels[64];
-        snprintf(labels, sizeof(labels), "cell=\"%u\",state=\"%s\"", c->n,
-                 cw_place_state_name((enum cw_place_state)i));
-        double *g = cw_metrics_gauge(m, "cuminwalk_tasks", labels);
-        if (g != NULL) {
-            *g = (double)cw_place_count(&c->place, (enum cw_place_state)i);
-        }
-    }
-}
-
 /* While the log is away no membership changes, so a confirmed holder stays the
  * holder: it renews the leases, or every task would end after 30 s. */
 static void
@@ -231,7 +235,7 @@
     if (now - c->tick_at >= PLACE_TICK_MS && c->report_version > 0) {
         c->tick_at = now;
         cw_place_tick(&c->place, now, place_act, c);
-        update_metrics(c);
+        update_metrics(c, true);
     }
     if (c->retention_ms > 0 && now - c->carried_at >= c->retention_ms / 3) {
         c->carried_at = now;
--- a/packages/daemon/cw_runners.h
+++ b/packages/daemon/cw_runners.h
@@ -47,6 +47,7 @@
     struct cw_map view_map; /* the same by VM */
     uint64_t list_version;
     bool list_pending;
+    bool list_failed; /* the last answer; a change is logged */
     cw_ms list_at;
 };
 
--- a/packages/daemon/vm_list.c
+++ b/packages/daemon/vm_list.c
@@ -106,6 +106,11 @@
         return;
     }
     all->list_pending = false;
+    if (all->list_failed != (s != CW_OK)) {
+        all->list_failed = s != CW_OK;
+        cw_log(all->list_failed ? CW_WARN : CW_INFO, "vm_list", "status=%s",
+               cw_status_name(s));
+    }
     if (s != CW_OK) {
         return;
     }
