Log why a pool waits only while it waits

Cause: wave_waits was also logged when a wave opened, began a batch or closed, with an empty or misleading reason. Change: the line needs the decision to wait and a reason.

--- a/packages/daemon/ctl_waves.c
+++ b/packages/daemon/ctl_waves.c
@@ -249,7 +249,9 @@
     else if (out.decision == CW_WAVE_START && wave != NULL) {
         start_batch(d, g, doc, wave, &out);
     }
-    if (strcmp(run->reason, out.reason) != 0) {
+    /* Only a pool that takes no VM now has a reason worth a line. */
+    if (out.decision == CW_WAVE_WAIT && out.reason[0] != '\0' &&
+        strcmp(run->reason, out.reason) != 0) {
         memcpy(run->reason, out.reason, sizeof(run->reason));
         cw_log(CW_INFO, "wave_waits", "pool=%s open=%d due=%u reason=\"%s\"",
                run->pool.text, wave != NULL, out.due, out.reason);
