--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 DEPS := libuv jansson libprotobuf-c libxxhash popt openssl libcurl
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith
-PKGS := base wire config state policy ports daemon cli
+PKGS := base wire config state policy jobs ports jobd daemon cli
 
 ifneq ($(SAN),)
 SANFLAGS := -fsanitize=address,undefined -fno-sanitize-recover=all \
@@ -17,7 +17,7 @@
 endif
 
 CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Iinclude \
-	$(addprefix -Ipackages/,$(PKGS)) -Istandins -Itests
+	$(addprefix -Ipackages/,$(PKGS)) -Iplatform -Istandins -Itests
 CFLAGS += -std=gnu11 -O2 -g $(WARN) $(SANFLAGS) -MMD -MP
 LDFLAGS += $(SANFLAGS)
 LIBS = -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljansson -lxxhash -lpopt -lcurl -lm -lpthread
@@ -26,7 +26,8 @@
 obj = $(patsubst %.c,$(BUILD)/%.o,$(call src,$(1)))
 
 LIB_OBJS := $(foreach p,base config state policy,$(call obj,$(p)))
-NODE_OBJS := $(foreach p,wire ports,$(call obj,$(p)))
+NODE_OBJS := $(foreach p,wire jobs ports jobd,$(call obj,$(p))) \
+	$(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 DAEMON_OBJS := $(filter-out %/main.o,$(call obj,daemon))
 CLI_OBJS := $(filter-out %/main.o,$(call obj,cli))
 
@@ -45,6 +46,8 @@
 
 all: $(LIB) $(NODELIB) $(BINS) $(STANDINS) $(TESTS) $(BENCHES) $(EXAMPLES)
 
+programs: $(BINS)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
@@ -119,8 +122,8 @@
 		install -m 644 $$m $(DESTDIR)$(PREFIX)/share/man/man8; done
 
 clean:
-	rm -rf build build-san
+	rm -rf build build-san target
 
-.PHONY: all proto deps demo check bench lint format install clean
+.PHONY: all programs proto deps demo check bench lint format install clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/packages/daemon/jobd_main.c
@@ -0,0 +1,170 @@
+/* Runs the job service: settings, signals, the adapter to the platform. */
+#include "cw_jobd.h"
+#include "cw_jobd_main.h"
+#include "cw_platform.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SETTINGS_MAX ((size_t)64 * 1024)
+/* The settings file may change without a signal: time between looks. */
+#define SETTINGS_EVERY_MS 1000
+
+struct program {
+    uv_loop_t loop;
+    struct cw_jobd d;
+    struct cw_platform *platform;
+    const char *path;
+    uv_signal_t signals[3];
+    uv_timer_t look;
+    char *text; /* of the settings in force */
+    size_t text_len;
+};
+
+static char *
+read_file(const char *path, size_t *len)
+{
+    char *text = malloc(SETTINGS_MAX);
+    FILE *f = fopen(path, "rb");
+
+    *len = 0;
+    if (text != NULL && f != NULL) {
+        *len = fread(text, 1, SETTINGS_MAX, f);
+    }
+    if (f != NULL) {
+        (void)fclose(f);
+    }
+    if (*len == 0) {
+        free(text);
+        return NULL;
+    }
+    return text;
+}
+
+static bool
+parse(const char *path, struct cw_str text, struct cw_jobd_settings *s)
+{
+    struct cw_faults faults = {0};
+    enum cw_status st = cw_jobd_settings_parse(s, text, &faults);
+
+    for (size_t i = 0; i < faults.count; i++) {
+        cw_log(CW_ERROR, "setting_invalid", "file=%s key=%s reason=\"%s\"",
+               path, faults.items[i].path, faults.items[i].text);
+    }
+    return st == CW_OK;
+}
+
+static void
+reload(struct program *p, const char *why)
+{
+    size_t len;
+    char *text = read_file(p->path, &len);
+    struct cw_jobd_settings s;
+
+    if (text == NULL) {
+        cw_log(CW_WARN, "settings_unreadable", "file=%s", p->path);
+        return;
+    }
+    if (len == p->text_len && memcmp(text, p->text, len) == 0) {
+        free(text);
+        return;
+    }
+    cw_log(CW_INFO, "settings_changed", "cause=%s bytes=%zu", why, len);
+    free(p->text);
+    p->text = text;
+    p->text_len = len;
+    if (parse(p->path, (struct cw_str){text, len}, &s)) {
+        cw_jobd_reload(&p->d, &s);
+    }
+}
+
+static void
+on_signal(uv_signal_t *h, int signum)
+{
+    struct program *p = h->data;
+
+    if (signum == SIGHUP) {
+        reload(p, "signal");
+    }
+    else {
+        cw_jobd_stop(&p->d);
+    }
+}
+
+static void
+on_look(uv_timer_t *t)
+{
+    reload(t->data, "file");
+}
+
+static bool
+watch(struct program *p)
+{
+    static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+
+    /* A caller or peer that went away shows as a failed write. */
+    (void)signal(SIGPIPE, SIG_IGN);
+    for (size_t i = 0; i < 3; i++) {
+        p->signals[i].data = p;
+        if (uv_signal_init(&p->loop, &p->signals[i]) != 0 ||
+            uv_signal_start(&p->signals[i], on_signal, numbers[i]) != 0) {
+            return false;
+        }
+    }
+    p->look.data = p;
+    return uv_timer_init(&p->loop, &p->look) == 0 &&
+           uv_timer_start(&p->look, on_look, SETTINGS_EVERY_MS,
+                          SETTINGS_EVERY_MS) == 0;
+}
+
+static int
+run(struct program *p)
+{
+    struct cw_jobd *d = &p->d;
+    struct cw_platform_options o = {d->settings.store.text,
+                                    d->settings.vm_control.text,
+                                    d->settings.daemon.text};
+
+    if (uv_loop_init(&p->loop) != 0) {
+        cw_log(CW_ERROR, "start_failed", "reason=\"no loop\"");
+        return EXIT_FAILURE;
+    }
+    d->loop = &p->loop;
+    d->clock = cw_clock_system();
+    p->platform = cw_platform_open(&p->loop, &o, &d->ports, d->msg);
+    if (p->platform == NULL || !watch(p) || cw_jobd_start(d) != CW_OK) {
+        cw_log(CW_ERROR, "start_failed", "reason=\"%s\"", d->msg);
+        return EXIT_FAILURE;
+    }
+    uv_run(&p->loop, UV_RUN_DEFAULT);
+    cw_jobd_finish(d);
+    cw_platform_close(p->platform);
+    return EXIT_SUCCESS;
+}
+
+int
+cw_jobd_main(const char *settings_path, bool check)
+{
+    static struct program program;
+    struct program *p = &program;
+
+    cw_logger_setup(CW_INFO, stdout, NULL);
+    p->path = settings_path;
+    p->text = read_file(settings_path, &p->text_len);
+    if (p->text == NULL) {
+        cw_log(CW_ERROR, "settings_unreadable", "file=%s", settings_path);
+        return EXIT_FAILURE;
+    }
+    if (!parse(settings_path, (struct cw_str){p->text, p->text_len},
+               &p->d.settings)) {
+        return EXIT_FAILURE;
+    }
+    if (check) {
+        printf("%s: settings are valid\n", settings_path);
+        return EXIT_SUCCESS;
+    }
+    cw_logger_setup(p->d.settings.log_level, stdout,
+                    p->d.settings.daemon.text);
+    return run(p);
+}
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -1,6 +1,7 @@
 /* cuminwalkd: the daemon on an entry VM. */
 #include "cw_clients.h"
 #include "cw_daemon.h"
+#include "cw_jobd_main.h"
 
 #include <popt.h>
 #include <signal.h>
@@ -9,12 +10,16 @@
 
 #define SETTINGS_MAX ((size_t)64 * 1024)
 
+/* Names the settings file when no option does. */
+#define SETTINGS_ENV "CUMINWALK_SETTINGS"
+
 /* Exit codes. */
 #define EXIT_USAGE 2
 
 struct options {
     char *settings;
     bool check;
+    bool jobs;
 };
 
 /* Everything that lives as long as the process. */
@@ -34,20 +39,26 @@
 parse_options(int argc, const char **argv, struct options *o)
 {
     int check = 0;
+    int jobs = 0;
     int version = 0;
-    struct poptOption table[] = {{"settings", 's', POPT_ARG_STRING,
-                                  &o->settings, 0, "settings file (JSON)",
-                                  "FILE"},
-                                 {"check-settings", 'c', POPT_ARG_NONE, &check,
-                                  0, "check the settings file and exit", NULL},
-                                 {"version", 'V', POPT_ARG_NONE, &version, 0,
-                                  "print the version and exit", NULL},
-                                 POPT_AUTOHELP POPT_TABLEEND};
+    struct poptOption table[] = {
+        {"settings", 's', POPT_ARG_STRING, &o->settings, 0,
+         "settings file (JSON)", "FILE"},
+        {"check-settings", 'c', POPT_ARG_NONE, &check, 0,
+         "check the settings file and exit", NULL},
+        {"jobs", 'j', POPT_ARG_NONE, &jobs, 0, "run the job service", NULL},
+        {"version", 'V', POPT_ARG_NONE, &version, 0,
+         "print the version and exit", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
     poptContext ctx = poptGetContext("cuminwalkd", argc, argv, table, 0);
     int rc = poptGetNextOpt(ctx);
     int code = -1;
 
     o->check = check != 0;
+    o->jobs = jobs != 0;
+    if (o->settings == NULL && getenv(SETTINGS_ENV) != NULL) {
+        o->settings = strdup(getenv(SETTINGS_ENV));
+    }
     if (rc < -1) {
         fprintf(stderr, "cuminwalkd: %s: %s\n",
                 poptBadOption(ctx, POPT_BADOPTION_NOALIAS), poptStrerror(rc));
@@ -58,8 +69,9 @@
         code = EXIT_SUCCESS;
     }
     else if (poptPeekArg(ctx) != NULL || o->settings == NULL) {
-        fprintf(stderr, "cuminwalkd: --settings FILE is required, and nothing "
-                        "else than options; see --help\n");
+        fprintf(stderr, "cuminwalkd: --settings FILE or " SETTINGS_ENV
+                        " is required, and nothing else than options; see "
+                        "--help\n");
         code = EXIT_USAGE;
     }
     poptFreeContext(ctx);
@@ -182,6 +194,11 @@
         free(o.settings);
         return code;
     }
+    if (o.jobs) {
+        code = cw_jobd_main(o.settings, o.check);
+        free(o.settings);
+        return code;
+    }
     if (!read_settings(o.settings, &process.settings)) {
         free(o.settings);
         return EXIT_FAILURE;
--- /dev/null
+++ b/packages/jobd/agents.c
@@ -0,0 +1,518 @@
+/* One agent for each worker: sends orders, renews the lease, and asks what
+ * runs there. */
+#include "cw_jobd.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Calls to one worker at a time, the report aside: bounds connections. */
+#define ORDERS_AT_ONCE 2
+/* An order's answer takes some milliseconds; later the order is sent again,
+ * which changes nothing when it had arrived. */
+#define ORDER_TIMEOUT_MS 400
+#define ORDER_RETRY_MS 150
+/* Tries of a start that never left, before another worker gets the task. */
+#define ORDER_TRIES 2
+/* No further starts go to a worker that left one unanswered. */
+#define UNANSWERED_PAUSE_MS 800
+/* A report waits this long for an end. */
+#define REPORT_WAIT_MS 1000
+#define REPORT_MARGIN_MS 600
+#define REPORT_RETRY_MS 250
+/* After an end the next report carries its acknowledgement, so it waits for
+ * the commit, but no longer than this. */
+#define ACK_WAIT_MS 200
+
+enum order_kind { ORDER_START, ORDER_STOP, ORDER_PACE };
+
+struct order {
+    struct order *next;
+    struct cw_agent *agent;
+    enum order_kind kind;
+    struct cw_run_row row;
+    uint32_t percent;
+    uint32_t tries;
+    bool unanswered; /* may have arrived */
+    cw_ms due;
+};
+
+struct cw_agent {
+    struct cw_agent *next;
+    struct cw_jobd *d;
+    struct cw_worker *worker;
+    struct cw_worker_conn *conn;
+    struct order *orders;
+    uint32_t in_flight;
+    bool closing;
+    bool reporting;
+    cw_ms report_sent;
+    cw_ms report_due;
+    uint64_t report_acked;
+    uint64_t acked_sent;
+    uint32_t failures;
+};
+
+static void pump(struct cw_agent *a, cw_ms now);
+
+static void
+push_order(struct cw_agent *a, struct order *o)
+{
+    struct order **at = &a->orders;
+
+    while (*at != NULL) {
+        at = &(*at)->next;
+    }
+    o->next = NULL;
+    *at = o;
+}
+
+static struct order *
+new_order(struct cw_agent *a, enum order_kind kind,
+          const struct cw_run_row *row)
+{
+    struct order *o = calloc(1, sizeof(*o));
+
+    CW_INVARIANT(o != NULL);
+    o->agent = a;
+    o->kind = kind;
+    o->row = *row;
+    o->row.checkpoint = (struct cw_str){0};
+    push_order(a, o);
+    return o;
+}
+
+static struct cw_agent *
+agent_of(struct cw_jobd *d, struct cw_worker *w)
+{
+    struct cw_agent *a = w->agent;
+
+    if (a != NULL || w->address.len == 0) {
+        return a;
+    }
+    a = calloc(1, sizeof(*a));
+    CW_INVARIANT(a != NULL);
+    a->d = d;
+    a->worker = w;
+    a->conn = d->ports.exec.open(d->ports.ctx, &w->id, &w->address);
+    if (a->conn == NULL) {
+        cw_log(CW_WARN, "worker_unusable", "worker=%s address=%s", w->id.text,
+               w->address.text);
+        free(a);
+        return NULL;
+    }
+    w->agent = a;
+    a->next = d->agents;
+    d->agents = a;
+    return a;
+}
+
+/* ---- orders
+ * -------------------------------------------------------------------- */
+
+static struct cw_task *
+order_task(const struct order *o)
+{
+    struct cw_task *t = cw_sched_task(o->agent->d->sched, &o->row);
+
+    return t != NULL && t->worker == o->agent->worker && t->run == o->row.run
+               ? t
+               : NULL;
+}
+
+static void
+after_change(struct cw_jobd *d)
+{
+    if (d->sched != NULL && (d->sched->plan_due || d->sched->dirty != NULL)) {
+        cw_commit_wake(d);
+    }
+}
+
+/* Puts an order that got no answer back. */
+static void
+retry(struct order *o, cw_ms now)
+{
+    o->tries++;
+    o->due = now + ORDER_RETRY_MS;
+    push_order(o->agent, o);
+}
+
+static void
+on_start(void *arg, enum cw_status s, enum cw_start_answer answer)
+{
+    struct order *o = arg;
+    struct cw_agent *a = o->agent;
+    struct cw_jobd *d = a->d;
+    struct cw_worker *w = a->worker;
+    struct cw_task *t;
+    cw_ms now = cw_jobd_now(d);
+
+    a->in_flight--;
+    if (a->closing) {
+        free(o);
+        return;
+    }
+    if (s == CW_ERR_FENCED) {
+        free(o);
+        cw_member_step_down(d, "worker_fenced");
+        return;
+    }
+    if (s == CW_OK) {
+        if (answer != CW_START_OK) {
+            cw_log(CW_INFO, "start_refused",
+                   "job=%016llx task=%u.%u.%u run=%u worker=%s answer=%d",
+                   (unsigned long long)o->row.job, o->row.occurrence,
+                   o->row.step, o->row.index, o->row.run, w->id.text, answer);
+        }
+        cw_sched_start_answered(d->sched, w, &o->row, answer, now);
+        free(o);
+    }
+    else {
+        o->unanswered |= s == CW_ERR_UNKNOWN;
+        w->retry_at = now + UNANSWERED_PAUSE_MS;
+        t = order_task(o);
+        cw_log(CW_INFO, "start_unanswered",
+               "job=%016llx task=%u.%u.%u run=%u worker=%s status=%s tries=%u",
+               (unsigned long long)o->row.job, o->row.occurrence, o->row.step,
+               o->row.index, o->row.run, w->id.text, cw_status_name(s),
+               o->tries);
+        if (t == NULL || t->state != CW_RUN_ORDERED) {
+            free(o);
+        }
+        else if (!o->unanswered && o->tries >= ORDER_TRIES) {
+            cw_sched_start_answered(d->sched, w, &o->row, CW_START_REFUSED,
+                                    now);
+            free(o);
+        }
+        else {
+            retry(o, now);
+        }
+    }
+    after_change(d);
+    pump(a, now);
+}
+
+static void
+on_order(void *arg, enum cw_status s)
+{
+    struct order *o = arg;
+    struct cw_agent *a = o->agent;
+    struct cw_jobd *d = a->d;
+    cw_ms now = cw_jobd_now(d);
+    struct cw_task *t;
+
+    a->in_flight--;
+    if (a->closing) {
+        free(o);
+        return;
+    }
+    if (s == CW_ERR_FENCED) {
+        free(o);
+        cw_member_step_down(d, "worker_fenced");
+        return;
+    }
+    t = order_task(o);
+    if (s == CW_ERR_NOT_FOUND) {
+        cw_sched_worker_lost(d->sched, a->worker, now);
+        free(o);
+    }
+    else if (s == CW_OK && o->kind == ORDER_STOP) {
+        cw_sched_stop_answered(d->sched, a->worker, &o->row, now);
+        free(o);
+    }
+    else if (s != CW_OK && o->kind == ORDER_STOP && t != NULL &&
+             t->state == CW_RUN_STOPPING) {
+        retry(o, now);
+    }
+    else {
+        free(o);
+    }
+    after_change(d);
+    pump(a, now);
+}
+
+static void
+send_start(struct cw_agent *a, struct order *o, const struct cw_task *t,
+           cw_ms now)
+{
+    struct cw_jobd *d = a->d;
+    struct cw_start_order so = {
+        .run = o->row,
+        .text = {t->job->spec.text, t->job->spec.text_len},
+        .until_ms = cw_worker_lease(d->sched, a->worker, now),
+        .epoch = d->epoch,
+    };
+
+    so.run.checkpoint = cw_str_from(t->checkpoint);
+    d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
+}
+
+/* True when the order was sent or is void. */
+static bool
+send_order(struct cw_agent *a, struct order *o, cw_ms now)
+{
+    struct cw_jobd *d = a->d;
+    struct cw_task *t = order_task(o);
+
+    if (o->kind == ORDER_START && (t == NULL || t->state != CW_RUN_ORDERED)) {
+        free(o);
+        return true;
+    }
+    a->in_flight++;
+    switch (o->kind) {
+    case ORDER_START:
+        send_start(a, o, t, now);
+        break;
+    case ORDER_STOP:
+        d->ports.exec.stop(a->conn, &o->row, d->epoch, ORDER_TIMEOUT_MS,
+                           on_order, o);
+        break;
+    case ORDER_PACE:
+        d->ports.exec.pace(a->conn, &o->row, o->percent, d->epoch,
+                           ORDER_TIMEOUT_MS, on_order, o);
+        break;
+    }
+    return true;
+}
+
+static void
+pump(struct cw_agent *a, cw_ms now)
+{
+    struct order **at = &a->orders;
+
+    while (*at != NULL && a->in_flight < ORDERS_AT_ONCE) {
+        struct order *o = *at;
+
+        if (o->due > now) {
+            at = &o->next;
+            continue;
+        }
+        *at = o->next;
+        (void)send_order(a, o, now);
+    }
+}
+
+static void
+ask_start(void *ctx, struct cw_task *t)
+{
+    struct cw_jobd *d = ctx;
+    struct cw_run_row row = cw_task_row(t);
+    struct cw_agent *a = agent_of(d, t->worker);
+
+    if (a == NULL) {
+        return;
+    }
+    cw_log(CW_DEBUG, "start", "job=%016llx task=%u.%u.%u run=%u worker=%s",
+           (unsigned long long)row.job, row.occurrence, row.step, row.index,
+           row.run, t->worker->id.text);
+    (void)new_order(a, ORDER_START, &row);
+    pump(a, cw_jobd_now(d));
+}
+
+static void
+ask_stop(void *ctx, struct cw_worker *w, const struct cw_run_row *r)
+{
+    struct cw_jobd *d = ctx;
+    struct cw_agent *a = agent_of(d, w);
+
+    if (a == NULL) {
+        return;
+    }
+    for (const struct order *o = a->orders; o != NULL; o = o->next) {
+        if (o->kind == ORDER_STOP && o->row.job == r->job &&
+            o->row.occurrence == r->occurrence && o->row.step == r->step &&
+            o->row.index == r->index && o->row.run == r->run) {
+            return;
+        }
+    }
+    cw_log(CW_INFO, "stop", "job=%016llx task=%u.%u.%u run=%u worker=%s",
+           (unsigned long long)r->job, r->occurrence, r->step, r->index,
+           r->run, w->id.text);
+    (void)new_order(a, ORDER_STOP, r);
+    pump(a, cw_jobd_now(d));
+}
+
+static void
+ask_pace(void *ctx, struct cw_task *t, uint32_t percent)
+{
+    struct cw_jobd *d = ctx;
+    struct cw_run_row row = cw_task_row(t);
+    struct cw_agent *a = agent_of(d, t->worker);
+
+    if (a == NULL) {
+        return;
+    }
+    cw_log(CW_INFO, "pace",
+           "job=%016llx task=%u.%u.%u run=%u worker=%s percent=%u",
+           (unsigned long long)row.job, row.occurrence, row.step, row.index,
+           row.run, t->worker->id.text, percent);
+    new_order(a, ORDER_PACE, &row)->percent = percent;
+    pump(a, cw_jobd_now(d));
+}
+
+const struct cw_sched_ops cw_agent_ops = {ask_start, ask_stop, ask_pace};
+
+/* ---- reports
+ * -------------------------------------------------------------------- */
+
+static void
+report_failed(struct cw_agent *a, enum cw_status s, cw_ms now)
+{
+    struct cw_jobd *d = a->d;
+    struct cw_worker *w = a->worker;
+
+    if (a->failures++ == 0) {
+        cw_log(CW_INFO, "report_missing", "worker=%s status=%s tasks=%u",
+               w->id.text, cw_status_name(s), w->task_count);
+    }
+    a->report_due = now + REPORT_RETRY_MS;
+    if (s == CW_ERR_NOT_FOUND) {
+        cw_sched_worker_lost(d->sched, w, now);
+    }
+    else if (s == CW_ERR_UNAVAILABLE) {
+        cw_sched_worker_refused(d->sched, w, now);
+    }
+    w->retry_at = now + UNANSWERED_PAUSE_MS;
+}
+
+static void
+on_report(void *arg, enum cw_status s, struct cw_run_report *r)
+{
+    struct cw_agent *a = arg;
+    struct cw_jobd *d = a->d;
+    cw_ms now = cw_jobd_now(d);
+
+    a->reporting = false;
+    if (a->closing) {
+        return;
+    }
+    if (s == CW_ERR_FENCED) {
+        cw_member_step_down(d, "worker_fenced");
+        return;
+    }
+    cw_jobd_count(d, "cuminwalk_reports_total", cw_status_name(s));
+    if (s != CW_OK) {
+        report_failed(a, s, now);
+    }
+    else {
+        if (a->failures > 0) {
+            cw_log(CW_INFO, "report_regained", "worker=%s missing=%u",
+                   a->worker->id.text, a->failures);
+        }
+        a->failures = 0;
+        a->acked_sent = a->report_acked;
+        r->sent_at = a->report_sent;
+        cw_sched_report(d->sched, a->worker, r, now);
+        a->report_due =
+            a->worker->ack_next > a->worker->acked ? now + ACK_WAIT_MS : now;
+    }
+    after_change(d);
+}
+
+static bool
+wants_report(const struct cw_agent *a, cw_ms now)
+{
+    const struct cw_worker *w = a->worker;
+
+    if (a->reporting) {
+        return false;
+    }
+    if (w->ack_next > w->acked && now < a->report_due) {
+        return false; /* the commit is on its way */
+    }
+    if (a->failures > 0 && now < a->report_due) {
+        return false;
+    }
+    if (w->state == CW_WORKER_GONE && w->tasks == NULL) {
+        return false;
+    }
+    return !w->contacted || w->tasks != NULL || w->acked > a->acked_sent;
+}
+
+static void
+send_report(struct cw_agent *a, cw_ms now)
+{
+    struct cw_jobd *d = a->d;
+    struct cw_worker *w = a->worker;
+    cw_ms wait = w->contacted && w->tasks != NULL ? REPORT_WAIT_MS : 0;
+    int64_t until = w->tasks == NULL ? 0 : cw_worker_lease(d->sched, w, now);
+
+    a->reporting = true;
+    a->report_sent = now;
+    a->report_acked = w->acked;
+    d->ports.exec.report(a->conn, until, d->epoch, w->acked, wait,
+                         wait + REPORT_MARGIN_MS, on_report, a);
+}
+
+void
+cw_agents_tick(struct cw_jobd *d, cw_ms now)
+{
+    if (d->role != CW_ROLE_SCHEDULER) {
+        return;
+    }
+    for (struct cw_pool *p = d->sched->pool_list; p != NULL; p = p->next) {
+        for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
+            struct cw_agent *a = w->state == CW_WORKER_GONE && w->tasks == NULL
+                                     ? w->agent
+                                     : agent_of(d, w);
+
+            if (a == NULL) {
+                continue;
+            }
+            if (a->acked_sent > w->acked) {
+                a->acked_sent = w->acked; /* another life of the worker */
+            }
+            if (wants_report(a, now)) {
+                send_report(a, now);
+            }
+            pump(a, now);
+        }
+    }
+}
+
+/* ---- the end
+ * ----------------------------------------------------------------------- */
+
+static void
+agent_free(struct cw_agent *a)
+{
+    a->closing = true;
+    a->d->ports.exec.close(a->conn);
+    while (a->orders != NULL) {
+        struct order *o = a->orders;
+
+        a->orders = o->next;
+        free(o);
+    }
+    if (a->worker != NULL) {
+        a->worker->agent = NULL;
+    }
+    free(a);
+}
+
+void
+cw_agent_drop(void *ctx, struct cw_worker *w)
+{
+    struct cw_jobd *d = ctx;
+    struct cw_agent *a = w->agent;
+    struct cw_agent **at = &d->agents;
+
+    if (a == NULL) {
+        return;
+    }
+    while (*at != a) {
+        at = &(*at)->next;
+    }
+    *at = a->next;
+    agent_free(a);
+}
+
+void
+cw_agents_close(struct cw_jobd *d)
+{
+    while (d->agents != NULL) {
+        struct cw_agent *a = d->agents;
+
+        d->agents = a->next;
+        agent_free(a);
+    }
+}
--- /dev/null
+++ b/packages/jobd/calls.c
@@ -0,0 +1,214 @@
+/* Calls of callers: run by the scheduler, answered when durable. */
+#include "cw_jobd.h"
+
+#include <string.h>
+
+/* A call waits this long for a daemon that schedules. */
+#define HOLD_MS 700
+/* What callers are told while nobody schedules: the time in which the group
+ * gives the part to another daemon. */
+#define RETRY_MS 1000
+/* An answer leaves this much before the caller stops waiting. */
+#define ANSWER_MARGIN_MS 60
+
+void
+cw_calls_push(struct cw_call **list, struct cw_call *c)
+{
+    c->list = list;
+    c->prev = NULL;
+    c->next = *list;
+    if (c->next != NULL) {
+        c->next->prev = c;
+    }
+    *list = c;
+}
+
+void
+cw_calls_unlink(struct cw_call *c)
+{
+    if (c->list == NULL) {
+        return;
+    }
+    if (c->prev != NULL) {
+        c->prev->next = c->next;
+    }
+    else {
+        *c->list = c->next;
+    }
+    if (c->next != NULL) {
+        c->next->prev = c->prev;
+    }
+    c->list = NULL;
+}
+
+void
+cw_calls_end(struct cw_call *c, enum cw_call_result r, const char *why,
+             cw_ms retry_after)
+{
+    cw_calls_unlink(c);
+    c->result = r;
+    c->reason = why;
+    c->retry_after_ms = retry_after;
+    cw_job_spec_finish(&c->spec);
+    c->done(c);
+}
+
+void
+cw_calls_dispatch(struct cw_jobd *d, struct cw_call *c)
+{
+    cw_ms now = cw_jobd_now(d);
+
+    if (d->role == CW_ROLE_SCHEDULER) {
+        cw_calls_run(d, c);
+        return;
+    }
+    if (d->role == CW_ROLE_FOLLOWER && d->owner.len > 0 &&
+        d->owner_conn_open) {
+        cw_forward_call(d, c);
+        return;
+    }
+    if (now - c->arrived > HOLD_MS) {
+        cw_calls_end(c, CW_CALL_NOT_RUN, "no_scheduler", RETRY_MS);
+        return;
+    }
+    cw_calls_push(&d->held, c);
+}
+
+static void
+await_commit(struct cw_jobd *d, struct cw_call *c, uint64_t batch)
+{
+    if (batch <= d->sched->committed) {
+        cw_calls_end(c, CW_CALL_OK, "", 0);
+        return;
+    }
+    c->batch = batch;
+    cw_calls_push(&d->committing, c);
+    cw_commit_wake(d);
+}
+
+static void
+run_submit(struct cw_jobd *d, struct cw_call *c, cw_ms now)
+{
+    struct cw_job_run *j;
+    enum cw_status st;
+
+    if (!cw_commit_healthy(d, now)) {
+        cw_calls_end(c, CW_CALL_NOT_RUN, "store_unavailable", RETRY_MS);
+        return;
+    }
+    st = cw_sched_accept(d->sched, &c->spec, now, &j);
+    if (j == NULL) {
+        cw_calls_end(c, CW_CALL_NOT_RUN, cw_status_name(st), RETRY_MS);
+        return;
+    }
+    await_commit(d, c, j->state_batch);
+}
+
+static void
+run_cancel(struct cw_jobd *d, struct cw_call *c, cw_ms now)
+{
+    struct cw_job_run *j = cw_sched_job(d->sched, c->id);
+
+    if (j == NULL) {
+        cw_calls_end(c, CW_CALL_GONE, "no_job", 0);
+        return;
+    }
+    (void)cw_sched_cancel(d->sched, c->id, now);
+    await_commit(d, c, j->state_batch);
+}
+
+void
+cw_calls_run(struct cw_jobd *d, struct cw_call *c)
+{
+    cw_ms now = cw_jobd_now(d);
+    struct cw_job_run *j;
+
+    if (d->role != CW_ROLE_SCHEDULER) {
+        cw_calls_end(c, CW_CALL_NOT_HOLDER, "not_scheduler", RETRY_MS);
+        return;
+    }
+    switch (c->kind) {
+    case CW_CALL_SUBMIT:
+        run_submit(d, c, now);
+        break;
+    case CW_CALL_CANCEL:
+        run_cancel(d, c, now);
+        break;
+    case CW_CALL_STATUS:
+        j = cw_sched_job(d->sched, c->id);
+        if (j == NULL) {
+            cw_calls_end(c, CW_CALL_GONE, "no_job", 0);
+            break;
+        }
+        c->state = cw_job_shown(d->sched, j);
+        cw_calls_end(c, CW_CALL_OK, "", 0);
+        break;
+    case CW_CALL_WAITING:
+        c->waiting = cw_sched_waiting(d->sched, cw_name_str(&c->queue));
+        cw_calls_end(c, CW_CALL_OK, "", 0);
+        break;
+    case CW_CALL_BAD:
+        cw_calls_end(c, CW_CALL_GONE, "bad_call", 0);
+        break;
+    }
+}
+
+void
+cw_calls_committed(struct cw_jobd *d, uint64_t batch)
+{
+    struct cw_call *c = d->committing;
+
+    while (c != NULL) {
+        struct cw_call *next = c->next;
+
+        if (c->batch <= batch) {
+            cw_calls_end(c, CW_CALL_OK, "", 0);
+        }
+        c = next;
+    }
+}
+
+void
+cw_calls_abandon(struct cw_jobd *d)
+{
+    while (d->committing != NULL) {
+        cw_calls_end(d->committing, CW_CALL_UNKNOWN, "scheduler_changed", 0);
+    }
+}
+
+static void
+expire(struct cw_call *list, cw_ms now, enum cw_call_result r)
+{
+    while (list != NULL) {
+        struct cw_call *next = list->next;
+
+        if (now >= list->deadline - ANSWER_MARGIN_MS) {
+            cw_calls_end(list, r, "deadline", RETRY_MS);
+        }
+        list = next;
+    }
+}
+
+void
+cw_calls_tick(struct cw_jobd *d, cw_ms now)
+{
+    struct cw_call *held = d->held;
+
+    d->held = NULL;
+    for (struct cw_call *c = held; c != NULL; c = c->next) {
+        c->list = &held;
+    }
+    while (held != NULL) {
+        struct cw_call *c = held;
+
+        cw_calls_unlink(c);
+        if (now >= c->deadline - ANSWER_MARGIN_MS) {
+            cw_calls_end(c, CW_CALL_NOT_RUN, "deadline", RETRY_MS);
+        }
+        else {
+            cw_calls_dispatch(d, c);
+        }
+    }
+    expire(d->committing, now, CW_CALL_UNKNOWN);
+    expire(d->forwarded, now, CW_CALL_UNKNOWN);
+}
--- /dev/null
+++ b/packages/jobd/forward.c
@@ -0,0 +1,338 @@
+/* Calls between daemons: to the one that schedules, and from the others. */
+#include "cw_jobd.h"
+#include "cw_jobs_int.h"
+#include "cw_modules.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The connection to the scheduler's daemon is given up when calls wait and
+ * nothing was heard for this long: connections may go silent without a reset.
+ */
+#define SILENT_MS 1200
+/* A connection that does not open in this time is tried again. */
+#define CONNECT_MS 800
+/* Pause before the next try. */
+#define RECONNECT_MS 100
+/* Probe of a connection on which calls wait. */
+#define KIND_PING 100
+
+/* A call that came from another daemon. */
+struct incoming {
+    struct cw_call call;
+    struct cw_jobd *d;
+    struct incoming *prev;
+    struct incoming *next;
+    struct cw_peer_conn *conn; /* NULL: the connection has ended */
+    uint64_t stream;
+};
+
+static void
+send_answer(struct cw_peer_conn *conn, uint64_t stream,
+            const struct cw_call *c)
+{
+    Cuminwalk__Envelope env = CUMINWALK__ENVELOPE__INIT;
+    Cuminwalk__JobAnswer m = CUMINWALK__JOB_ANSWER__INIT;
+
+    m.stream = stream;
+    if (c != NULL) {
+        m.result = c->result;
+        m.state = c->state;
+        m.waiting = c->waiting;
+        m.retry_after_ms = (uint32_t)c->retry_after_ms;
+        m.holder = (char *)(c->reason == NULL ? "" : c->reason);
+    }
+    env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_ANSWER;
+    env.job_answer = &m;
+    (void)cw_peer_conn_send(conn, &env);
+}
+
+/* Incoming calls of one connection hang on its data. */
+static void
+incoming_unlink(struct incoming *in)
+{
+    if (in->prev != NULL) {
+        in->prev->next = in->next;
+    }
+    else {
+        cw_peer_conn_set_data(in->conn, in->next);
+    }
+    if (in->next != NULL) {
+        in->next->prev = in->prev;
+    }
+}
+
+static void
+incoming_done(struct cw_call *c)
+{
+    struct incoming *in = c->arg;
+
+    if (in->conn != NULL) {
+        send_answer(in->conn, in->stream, c);
+        incoming_unlink(in);
+    }
+    free(in);
+}
+
+static void
+take_call(struct cw_jobd *d, struct cw_peer_conn *conn,
+          const Cuminwalk__JobCall *m)
+{
+    struct incoming *in;
+    struct incoming *first = cw_peer_conn_data(conn);
+    cw_ms now = cw_jobd_now(d);
+
+    if (m->kind == KIND_PING) {
+        send_answer(conn, 0, NULL);
+        return;
+    }
+    in = calloc(1, sizeof(*in));
+    if (in == NULL) {
+        return;
+    }
+    in->d = d;
+    in->conn = conn;
+    in->stream = m->stream;
+    in->next = first;
+    if (first != NULL) {
+        first->prev = in;
+    }
+    cw_peer_conn_set_data(conn, in);
+    in->call.kind = (enum cw_caller_op)m->kind;
+    in->call.id = m->id;
+    in->call.arrived = now;
+    in->call.deadline = now + m->timeout_ms;
+    in->call.done = incoming_done;
+    in->call.arg = in;
+    if (cw_name_set(&in->call.queue, cw_str_from(m->queue)) != CW_OK ||
+        (m->kind == CW_CALL_SUBMIT &&
+         (m->spec == NULL ||
+          cw_job_spec_from_wire(&in->call.spec, m->spec) != CW_OK))) {
+        cw_calls_end(&in->call, CW_CALL_NOT_RUN, "bad_call", 0);
+        return;
+    }
+    cw_calls_run(d, &in->call);
+}
+
+static struct cw_call *
+find_forwarded(struct cw_jobd *d, uint64_t stream)
+{
+    struct cw_call *c = d->forwarded;
+
+    while (c != NULL && c->stream != stream) {
+        c = c->next;
+    }
+    return c;
+}
+
+static void
+take_answer(struct cw_jobd *d, const Cuminwalk__JobAnswer *m)
+{
+    struct cw_call *c = find_forwarded(d, m->stream);
+
+    if (c == NULL) {
+        return;
+    }
+    if (m->result == CW_CALL_NOT_HOLDER) {
+        /* Nothing was done there: ask who schedules, and try once more. */
+        d->owner_due = 0;
+        d->owner.len = 0;
+        cw_calls_unlink(c);
+        c->sent = false;
+        cw_calls_push(&d->held, c);
+        return;
+    }
+    c->state = (enum cw_job_state)(m->state > CW_JOB_CANCELLED ? 0 : m->state);
+    c->waiting = m->waiting;
+    cw_calls_end(c,
+                 m->result > CW_CALL_GONE ? CW_CALL_UNKNOWN
+                                          : (enum cw_call_result)m->result,
+                 "", m->retry_after_ms);
+}
+
+static bool
+on_frame(void *ctx, struct cw_peer_conn *conn, Cuminwalk__Envelope *env)
+{
+    struct cw_jobd *d = ctx;
+
+    if (conn == d->owner_conn) {
+        d->owner_heard_at = cw_jobd_now(d);
+    }
+    if (env->msg_case == CUMINWALK__ENVELOPE__MSG_JOB_CALL) {
+        take_call(d, conn, env->job_call);
+    }
+    else if (env->msg_case == CUMINWALK__ENVELOPE__MSG_JOB_ANSWER) {
+        take_answer(d, env->job_answer);
+    }
+    return false;
+}
+
+static void
+on_opened(void *ctx, struct cw_peer_conn *conn, bool incoming)
+{
+    struct cw_jobd *d = ctx;
+
+    if (!incoming && conn == d->owner_conn) {
+        d->owner_conn_open = true;
+        d->owner_heard_at = cw_jobd_now(d);
+    }
+}
+
+/* Reads may be asked again; a hand-in or a cancel may have taken effect. */
+static void
+forward_lost(struct cw_jobd *d)
+{
+    struct cw_call *c = d->forwarded;
+
+    while (c != NULL) {
+        struct cw_call *next = c->next;
+        bool read = c->kind == CW_CALL_STATUS || c->kind == CW_CALL_WAITING;
+
+        if (read && !c->retried) {
+            cw_calls_unlink(c);
+            c->retried = true;
+            c->arrived = cw_jobd_now(d);
+            cw_calls_push(&d->held, c);
+        }
+        else {
+            cw_calls_end(c, CW_CALL_UNKNOWN, "scheduler_lost", 0);
+        }
+        c = next;
+    }
+}
+
+static void
+on_closed(void *ctx, struct cw_peer_conn *conn)
+{
+    struct cw_jobd *d = ctx;
+
+    if (conn == d->owner_conn) {
+        if (d->owner_conn_open) {
+            cw_log(CW_INFO, "scheduler_connection_lost", "to=%s",
+                   d->owner_conn_to.text);
+        }
+        d->owner_conn = NULL;
+        d->owner_conn_open = false;
+        d->owner_conn_at = cw_jobd_now(d);
+        d->owner_due = 0;
+        forward_lost(d);
+        return;
+    }
+    for (struct incoming *in = cw_peer_conn_data(conn); in != NULL;) {
+        struct incoming *next = in->next;
+
+        in->conn = NULL;
+        in->prev = NULL;
+        in->next = NULL;
+        in = next;
+    }
+}
+
+static const struct cw_peer_net_ops peer_ops = {on_opened, on_frame,
+                                                on_closed};
+
+enum cw_status
+cw_jobd_peers_init(struct cw_jobd *d)
+{
+    struct sockaddr_storage sa;
+    socklen_t len;
+
+    if (cw_address_parse(cw_name_str(&d->settings.peer_listen), &sa, &len) !=
+        CW_OK) {
+        return cw_fail(d->msg, CW_ERR_INVALID, "peer_listen is not ip:port");
+    }
+    if (cw_peer_net_init(&d->peers, d->loop, (struct sockaddr *)&sa, &peer_ops,
+                         d) != CW_OK) {
+        return cw_fail(d->msg, CW_ERR_IO, "cannot listen on %s",
+                       d->settings.peer_listen.text);
+    }
+    return CW_OK;
+}
+
+static enum cw_status
+send_call(struct cw_jobd *d, const struct cw_call *c, cw_ms now)
+{
+    Cuminwalk__Envelope env = CUMINWALK__ENVELOPE__INIT;
+    Cuminwalk__JobCall m = CUMINWALK__JOB_CALL__INIT;
+    static struct cw_job_spec_wire wire; /* one loop, one thread */
+
+    if (c == NULL) {
+        m.kind = KIND_PING;
+    }
+    else {
+        m.stream = c->stream;
+        m.kind = c->kind;
+        m.id = c->id;
+        m.queue = (char *)c->queue.text;
+        m.timeout_ms = c->deadline > now ? (uint32_t)(c->deadline - now) : 0;
+        if (c->kind == CW_CALL_SUBMIT) {
+            cw_job_spec_to_wire(&c->spec, &wire);
+            m.spec = &wire.msg;
+        }
+    }
+    env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_CALL;
+    env.job_call = &m;
+    return cw_peer_conn_send(d->owner_conn, &env);
+}
+
+void
+cw_forward_call(struct cw_jobd *d, struct cw_call *c)
+{
+    cw_ms now = cw_jobd_now(d);
+
+    c->stream = ++d->stream;
+    if (send_call(d, c, now) != CW_OK) {
+        cw_calls_end(c, CW_CALL_NOT_RUN, "scheduler_unreachable", CW_SECOND);
+        return;
+    }
+    c->sent = true;
+    if (d->forwarded == NULL) {
+        d->owner_heard_at = now;
+    }
+    cw_calls_push(&d->forwarded, c);
+}
+
+static void
+connect_owner(struct cw_jobd *d, cw_ms now)
+{
+    struct sockaddr_storage sa;
+    socklen_t len;
+
+    d->owner_conn_at = now;
+    if (cw_address_parse(cw_name_str(&d->owner), &sa, &len) != CW_OK) {
+        return;
+    }
+    d->owner_conn_to = d->owner;
+    d->owner_conn =
+        cw_peer_net_connect(&d->peers, (struct sockaddr *)&sa, NULL);
+}
+
+void
+cw_forward_owner_tick(struct cw_jobd *d, cw_ms now)
+{
+    bool self = cw_name_eq(&d->owner, &d->settings.peer_listen);
+
+    if (d->owner_conn != NULL && d->owner.len > 0 &&
+        !cw_name_eq(&d->owner, &d->owner_conn_to)) {
+        cw_peer_conn_close(d->owner_conn);
+    }
+    if (d->owner_conn != NULL && !d->owner_conn_open &&
+        now - d->owner_conn_at > CONNECT_MS) {
+        cw_peer_conn_close(d->owner_conn);
+    }
+    if (d->owner_conn != NULL && d->owner_conn_open && d->forwarded != NULL) {
+        if (now - d->owner_heard_at > SILENT_MS) {
+            cw_log(CW_WARN, "scheduler_silent", "to=%s ms=%lld",
+                   d->owner_conn_to.text,
+                   (long long)(now - d->owner_heard_at));
+            cw_peer_conn_close(d->owner_conn);
+        }
+        else if (now - d->owner_heard_at > SILENT_MS / 2) {
+            (void)send_call(d, NULL, now);
+        }
+    }
+    if (d->owner_conn == NULL && d->owner.len > 0 && !self &&
+        now - d->owner_conn_at >= RECONNECT_MS) {
+        connect_owner(d, now);
+    }
+}
--- /dev/null
+++ b/packages/jobd/jobd_front.c
@@ -0,0 +1,300 @@
+/* Callers' connections, the readiness probe and the metrics page. */
+#include "cw_jobd.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What a caller waits when it names no time. */
+#define TIMEOUT_MS 3000
+#define TIMEOUT_MAX_MS 60000
+
+struct front_call;
+
+/* Lives in the request's pool: tells when h2o drops the request. */
+struct hook {
+    struct front_call *f;
+};
+
+struct front_call {
+    struct cw_call call;
+    struct cw_jobd *d;
+    h2o_req_t *req; /* NULL: the caller has gone */
+    struct hook *hook;
+};
+
+static const char *const kind_names[] = {"submit", "status", "cancel",
+                                         "waiting", "bad"};
+static const char *const result_names[] = {"ok", "not_run", "unknown", "gone",
+                                           "not_scheduler"};
+
+static void
+on_req_dropped(void *p)
+{
+    struct hook *h = p;
+
+    if (h->f != NULL) {
+        h->f->req = NULL;
+    }
+}
+
+/* Sends a complete answer. */
+static void
+respond(struct cw_jobd *d, h2o_req_t *req, int status, const char *outcome,
+        cw_ms retry_after, struct cw_str body, const char *type)
+{
+    h2o_iovec_t copy = h2o_strdup(&req->pool, body.ptr, body.len);
+
+    req->res.status = status;
+    req->res.reason = cw_reason((unsigned)status);
+    req->res.content_length = body.len;
+    h2o_add_header_by_str(&req->pool, &req->res.headers,
+                          H2O_STRLIT("cuminwalk-outcome"), 0, NULL, outcome,
+                          strlen(outcome));
+    h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+                   type, strlen(type));
+    if (retry_after > 0) {
+        /* The header counts whole seconds. */
+        char text[24];
+        int n = snprintf(text, sizeof(text), "%lld",
+                         (long long)((retry_after + 999) / 1000));
+        h2o_iovec_t v = h2o_strdup(&req->pool, text, (size_t)n);
+
+        h2o_add_header_by_str(&req->pool, &req->res.headers,
+                              H2O_STRLIT("retry-after"), 0, NULL, v.base,
+                              v.len);
+    }
+    if (d->stopping) {
+        req->http1_is_persistent = 0;
+    }
+    h2o_send_inline(req, copy.base, copy.len);
+}
+
+static int
+status_of(const struct cw_call *c)
+{
+    switch (c->result) {
+    case CW_CALL_OK:
+        return 200;
+    case CW_CALL_GONE:
+        return 410;
+    case CW_CALL_UNKNOWN:
+        return c->kind == CW_CALL_SUBMIT || c->kind == CW_CALL_CANCEL ? 504
+                                                                      : 503;
+    case CW_CALL_NOT_RUN:
+    case CW_CALL_NOT_HOLDER:
+        break;
+    }
+    return 503;
+}
+
+static void
+front_done(struct cw_call *c)
+{
+    struct front_call *f = c->arg;
+    struct cw_jobd *d = f->d;
+    int status = status_of(c);
+    cw_ms now = cw_jobd_now(d);
+    struct cw_buf body;
+
+    d->front_open--;
+    cw_jobd_count(d, "cuminwalk_calls_total", result_names[c->result]);
+    cw_jobd_time(d, "cuminwalk_call_ms", kind_names[c->kind],
+                 now - c->arrived);
+    if (c->kind == CW_CALL_SUBMIT || c->kind == CW_CALL_CANCEL ||
+        c->result != CW_CALL_OK) {
+        cw_log(CW_INFO, "call",
+               "job=%016llx kind=%s queue=%s status=%d result=%s reason=%s "
+               "ms=%lld config=%llu scheduler=%s",
+               (unsigned long long)c->id, kind_names[c->kind], c->queue.text,
+               status, result_names[c->result],
+               c->reason == NULL || c->reason[0] == '\0' ? "-" : c->reason,
+               (long long)(now - c->arrived),
+               (unsigned long long)d->config.version, d->owner.text);
+    }
+    if (f->req != NULL) {
+        f->hook->f = NULL;
+        cw_buf_init(&body);
+        if (c->result == CW_CALL_OK && c->kind == CW_CALL_STATUS) {
+            d->ports.caller.state_body(&body, c->state);
+        }
+        else if (c->result == CW_CALL_OK && c->kind == CW_CALL_WAITING) {
+            d->ports.caller.waiting_body(&body, c->waiting);
+        }
+        else {
+            cw_buf_addf(&body, "{}");
+        }
+        respond(d, f->req, status,
+                c->result == CW_CALL_NOT_RUN ? "not-run" : "done",
+                status == 503 ? c->retry_after_ms : 0, cw_buf_str(&body),
+                "application/json");
+        cw_buf_finish(&body);
+    }
+    free(f);
+}
+
+static cw_ms
+timeout_of(const struct cw_jobd *d, h2o_req_t *req)
+{
+    struct cw_str name = d->ports.caller.timeout_header;
+    ssize_t at = h2o_find_header_by_str(&req->headers, name.ptr, name.len, -1);
+    uint64_t ms;
+
+    if (at < 0 ||
+        !cw_str_to_u64((struct cw_str){req->headers.entries[at].value.base,
+                                       req->headers.entries[at].value.len},
+                       &ms) ||
+        ms == 0) {
+        return TIMEOUT_MS;
+    }
+    return ms > TIMEOUT_MAX_MS ? TIMEOUT_MAX_MS : (cw_ms)ms;
+}
+
+static void
+reject(struct cw_jobd *d, h2o_req_t *req, int status, const char *why,
+       cw_ms retry_after)
+{
+    cw_jobd_count(d, "cuminwalk_rejected_total", why);
+    cw_log(CW_INFO, "call_rejected",
+           "path=%.*s status=%d reason=%s config=%llu",
+           (int)(req->input.path.len > 120 ? 120 : req->input.path.len),
+           req->input.path.base, status, why,
+           (unsigned long long)d->config.version);
+    respond(d, req, status, "not-run", retry_after, CW_LIT("{}"),
+            "application/json");
+}
+
+/* Fills the call from the request; a status above 0 rejects it. */
+static int
+read_call(struct cw_jobd *d, h2o_req_t *req, struct cw_call *c,
+          const char **why)
+{
+    struct cw_str host = {req->input.authority.base, req->input.authority.len};
+    struct cw_str path = {req->input.path.base, req->input.path.len};
+    struct cw_str method = {req->input.method.base, req->input.method.len};
+    struct cw_str body = {req->entity.base, req->entity.len};
+    struct cw_str rest;
+    const struct cw_route_entry *r;
+    char msg[CW_MSG_MAX];
+    const char *query = memchr(path.ptr, '?', path.len);
+
+    if (query != NULL) {
+        path.len = (size_t)(query - path.ptr);
+    }
+    if (d->config.version == 0) {
+        *why = "no_config";
+        return 503;
+    }
+    r = cw_fleet_route(&d->config, host, path, &rest);
+    if (r == NULL) {
+        *why = "no_queue";
+        return 404;
+    }
+    c->kind = d->ports.caller.classify(method, rest, &c->id);
+    c->queue = r->rules.queue;
+    if (c->kind == CW_CALL_BAD) {
+        *why = "bad_call";
+        return 404;
+    }
+    if (c->kind == CW_CALL_SUBMIT) {
+        if (d->ports.caller.decode(body, &c->spec, msg) != CW_OK) {
+            cw_log(CW_WARN, "body_invalid", "job=%016llx reason=\"%s\"",
+                   (unsigned long long)c->id, msg);
+            *why = "bad_body";
+            return 400;
+        }
+        c->spec.id = c->id;
+        c->spec.rules = r->rules;
+    }
+    return 0;
+}
+
+static int
+on_front(void *arg, h2o_req_t *req)
+{
+    struct cw_jobd *d = arg;
+    struct front_call *f = calloc(1, sizeof(*f));
+    const char *why = "";
+    int status;
+
+    if (f == NULL) {
+        reject(d, req, 503, "no_memory", CW_SECOND);
+        return 0;
+    }
+    f->call.arrived = cw_jobd_now(d);
+    status = read_call(d, req, &f->call, &why);
+    if (status > 0) {
+        free(f);
+        reject(d, req, status, why, status == 503 ? CW_SECOND : 0);
+        return 0;
+    }
+    f->d = d;
+    f->req = req;
+    f->hook =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*f->hook), on_req_dropped);
+    f->hook->f = f;
+    f->call.deadline = f->call.arrived + timeout_of(d, req);
+    f->call.done = front_done;
+    f->call.arg = f;
+    d->front_open++;
+    cw_calls_dispatch(d, &f->call);
+    return 0;
+}
+
+bool
+cw_jobd_is_ready(const struct cw_jobd *d)
+{
+    return !d->stopping && d->config.version > 0 &&
+           (d->role == CW_ROLE_SCHEDULER || d->owner.len > 0);
+}
+
+static int
+on_ready(void *arg, h2o_req_t *req)
+{
+    struct cw_jobd *d = arg;
+    bool ready = cw_jobd_is_ready(d);
+
+    if (ready != d->was_ready) {
+        cw_log(CW_INFO, "readiness", "ready=%d config=%llu scheduler=%s",
+               ready, (unsigned long long)d->config.version, d->owner.text);
+        d->was_ready = ready;
+    }
+    respond(d, req, ready ? 200 : 503, "done", 0,
+            ready ? CW_LIT("{\"ready\":true}") : CW_LIT("{\"ready\":false}"),
+            "application/json");
+    return 0;
+}
+
+static int
+on_metrics(void *arg, h2o_req_t *req)
+{
+    struct cw_jobd *d = arg;
+    struct cw_buf out;
+
+    cw_buf_init(&out);
+    cw_metrics_print(&d->metrics, &out);
+    respond(d, req, 200, "done", 0, cw_buf_str(&out),
+            "text/plain; version=0.0.4");
+    cw_buf_finish(&out);
+    return 0;
+}
+
+enum cw_status
+cw_jobd_front_init(struct cw_jobd *d)
+{
+    enum cw_status s;
+
+    s = cw_http_server_init(&d->ready, d->loop,
+                            cw_name_str(&d->settings.ready_listen), &d->bound,
+                            on_ready, d, d->msg);
+    if (s == CW_OK && d->settings.metrics_listen.len > 0) {
+        s = cw_http_server_init(&d->metrics_server, d->loop,
+                                cw_name_str(&d->settings.metrics_listen),
+                                &d->bound, on_metrics, d, d->msg);
+    }
+    if (s == CW_OK) {
+        s = cw_http_server_init(&d->front, d->loop,
+                                cw_name_str(&d->settings.listen), &d->bound,
+                                on_front, d, d->msg);
+    }
+    return s;
+}
--- /dev/null
+++ b/packages/jobd/jobd_settings.c
@@ -0,0 +1,117 @@
+/* Settings of the job service's daemon. */
+#include "cw_jobd.h"
+#include "cw_json.h"
+
+#include <string.h>
+
+/* The store's shortest membership is a second. */
+#define MEMBER_TTL_MIN_MS 1000
+
+static const char *const known_keys[] = {"service",
+                                         "daemon",
+                                         "dc",
+                                         "listen",
+                                         "ready_listen",
+                                         "peer_listen",
+                                         "metrics_listen",
+                                         "store",
+                                         "vm_control",
+                                         "log_level",
+                                         "member_ttl_ms",
+                                         "grace_ms",
+                                         "lease_ms",
+                                         "status_ms",
+                                         "notice_ms",
+                                         "early_ms",
+                                         "harm_ms",
+                                         "move_ms",
+                                         "upkeep_ms",
+                                         "vm_lease_ms",
+                                         "far_factor",
+                                         NULL};
+
+static void
+set_defaults(struct cw_jobd_settings *s)
+{
+    memset(s, 0, sizeof(*s));
+    s->log_level = CW_INFO;
+    s->member_ttl_ms = 1500;
+    s->grace_ms = 6 * CW_SECOND;
+    s->max_lease_ms = 4500;
+    s->status_ms = 2 * CW_MINUTE;
+    s->notice_ms = 4500;
+    s->early_ms = 0;
+    s->harm_ms = 4 * CW_SECOND;
+    s->move_ms = 1500;
+    s->upkeep_ms = 2 * CW_SECOND;
+    s->vm_lease_ms = 3 * CW_SECOND;
+    s->far_factor = 1;
+}
+
+/* A key that this version does not know is named once and left out. */
+static void
+log_unknown(const json_t *top)
+{
+    const char *key;
+    json_t *v;
+
+    json_object_foreach((json_t *)top, key, v)
+    {
+        bool known = false;
+
+        for (size_t i = 0; known_keys[i] != NULL; i++) {
+            known |= strcmp(known_keys[i], key) == 0;
+        }
+        if (!known) {
+            cw_log(CW_WARN, "setting_unknown", "key=%s", key);
+        }
+    }
+}
+
+static void
+parse_times(struct cw_jobd_settings *s, const struct cw_jobj *o)
+{
+    cw_jget_ms(o, "member_ttl_ms", false, MEMBER_TTL_MIN_MS, CW_MINUTE,
+               &s->member_ttl_ms);
+    cw_jget_ms(o, "grace_ms", false, 100, CW_HOUR, &s->grace_ms);
+    cw_jget_ms(o, "lease_ms", false, 500, CW_HOUR, &s->max_lease_ms);
+    cw_jget_ms(o, "status_ms", false, CW_SECOND, CW_DAY, &s->status_ms);
+    cw_jget_ms(o, "notice_ms", false, 0, CW_HOUR, &s->notice_ms);
+    cw_jget_ms(o, "early_ms", false, 0, CW_HOUR, &s->early_ms);
+    cw_jget_ms(o, "harm_ms", false, 0, CW_HOUR, &s->harm_ms);
+    cw_jget_ms(o, "move_ms", false, 0, CW_HOUR, &s->move_ms);
+    cw_jget_ms(o, "upkeep_ms", false, 0, CW_HOUR, &s->upkeep_ms);
+    cw_jget_ms(o, "vm_lease_ms", false, 0, CW_HOUR, &s->vm_lease_ms);
+    cw_jget_real(o, "far_factor", false, 1, 1000, &s->far_factor);
+}
+
+enum cw_status
+cw_jobd_settings_parse(struct cw_jobd_settings *s, struct cw_str json,
+                       struct cw_faults *faults)
+{
+    static const char *const levels[] = {"debug", "info", "warn", "error"};
+    json_t *top = cw_json_load(json, json.len, faults);
+    struct cw_jobj o;
+    int level = CW_INFO;
+
+    set_defaults(s);
+    if (top == NULL || !cw_jobj_open(&o, top, faults, "", "", -1, NULL)) {
+        json_decref(top);
+        return CW_ERR_INVALID;
+    }
+    log_unknown(top);
+    cw_jget_name(&o, "daemon", true, &s->daemon);
+    cw_jget_name(&o, "dc", true, &s->dc);
+    cw_jget_address(&o, "listen", true, 1, &s->listen);
+    cw_jget_address(&o, "ready_listen", true, 1, &s->ready_listen);
+    cw_jget_address(&o, "peer_listen", true, 1, &s->peer_listen);
+    cw_jget_address(&o, "metrics_listen", false, 1, &s->metrics_listen);
+    cw_jget_address(&o, "store", true, 1, &s->store);
+    cw_jget_address(&o, "vm_control", false, 1, &s->vm_control);
+    if (cw_jget_enum(&o, "log_level", false, levels, 4, &level)) {
+        s->log_level = (enum cw_level)level;
+    }
+    parse_times(s, &o);
+    json_decref(top);
+    return faults->count == 0 ? CW_OK : CW_ERR_INVALID;
+}
--- /dev/null
+++ b/packages/jobs/jobs.c
@@ -0,0 +1,478 @@
+/* The table of jobs: hand-in, cancelling, expiry. */
+#include "cw_jobs_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+cw_job_spec_finish(struct cw_job_spec *s)
+{
+    free(s->text);
+    free(s->steps);
+    memset(s, 0, sizeof(*s));
+}
+
+uint32_t
+cw_job_spec_width(const struct cw_job_spec *s)
+{
+    uint32_t n = 0;
+
+    for (size_t i = 0; i < s->step_count; i++) {
+        n += s->steps[i].count;
+    }
+    return n;
+}
+
+/* True when the steps can be put in an order that respects after. */
+static bool
+steps_have_order(const struct cw_job_spec *s)
+{
+    uint64_t done = 0;
+    bool moved = true;
+
+    while (moved) {
+        moved = false;
+        for (size_t i = 0; i < s->step_count; i++) {
+            uint64_t bit = (uint64_t)1 << i;
+
+            if ((done & bit) == 0 && (s->steps[i].after & ~done) == 0) {
+                done |= bit;
+                moved = true;
+            }
+        }
+    }
+    return s->step_count == 64 ? done == UINT64_MAX
+                               : done == ((uint64_t)1 << s->step_count) - 1;
+}
+
+enum cw_status
+cw_job_spec_check(const struct cw_job_spec *s, char *msg)
+{
+    uint64_t tasks = 0;
+
+    if (s->text_len > CW_JOB_SPEC_MAX) {
+        return cw_fail(msg, CW_ERR_LIMIT, "text of %zu bytes is above %d",
+                       s->text_len, CW_JOB_SPEC_MAX);
+    }
+    if (s->step_count == 0 || s->step_count > CW_JOB_STEPS_MAX) {
+        return cw_fail(msg, CW_ERR_INVALID, "%zu steps are not in 1..%d",
+                       s->step_count, CW_JOB_STEPS_MAX);
+    }
+    for (size_t i = 0; i < s->step_count; i++) {
+        if (s->steps[i].count == 0 || s->steps[i].count > CW_JOB_TASKS_MAX) {
+            return cw_fail(msg, CW_ERR_INVALID,
+                           "step %zu has %u tasks, not 1..%d", i,
+                           s->steps[i].count, CW_JOB_TASKS_MAX);
+        }
+        tasks += s->steps[i].count;
+    }
+    tasks *= s->repeats;
+    if (s->repeats == 0 || tasks > CW_JOB_TASKS_MAX) {
+        return cw_fail(msg, CW_ERR_LIMIT,
+                       "%llu tasks over %u occurrences are not in 1..%d",
+                       (unsigned long long)tasks, s->repeats,
+                       CW_JOB_TASKS_MAX);
+    }
+    if (!steps_have_order(s)) {
+        return cw_fail(msg, CW_ERR_INVALID,
+                       "steps wait for each other or for a missing step");
+    }
+    return CW_OK;
+}
+
+/* ---- the table ------------------------------------------------------------
+ */
+
+void
+cw_sched_init(struct cw_sched *s, const struct cw_sched_limits *limits,
+              const struct cw_sched_ops *ops, void *ctx)
+{
+    memset(s, 0, sizeof(*s));
+    s->limits = *limits;
+    s->ops = ops;
+    s->ctx = ctx;
+    s->batch = 1;
+    cw_map_init(&s->workers);
+    cw_map_init(&s->pools);
+}
+
+static void
+job_free(struct cw_job_run *j)
+{
+    cw_job_spec_finish(&j->spec);
+    free(j->tasks);
+    free(j->open);
+    free(j);
+}
+
+void
+cw_sched_finish(struct cw_sched *s)
+{
+    for (size_t b = 0; b < CW_SCHED_BUCKETS; b++) {
+        while (s->buckets[b] != NULL) {
+            struct cw_job_run *j = s->buckets[b];
+
+            s->buckets[b] = j->bucket;
+            job_free(j);
+        }
+    }
+    for (struct cw_pool *p = s->pool_list; p != NULL;) {
+        struct cw_pool *next = p->next;
+
+        while (p->workers != NULL) {
+            struct cw_worker *w = p->workers;
+
+            p->workers = w->next;
+            free(w);
+        }
+        free(p);
+        p = next;
+    }
+    cw_map_finish(&s->workers);
+    cw_map_finish(&s->pools);
+    memset(s, 0, sizeof(*s));
+}
+
+static struct cw_job_run **
+bucket_of(const struct cw_sched *s, uint64_t id)
+{
+    size_t b = (size_t)(cw_hash_mix(id, 0) % CW_SCHED_BUCKETS);
+
+    return (struct cw_job_run **)&s->buckets[b];
+}
+
+struct cw_job_run *
+cw_sched_job(const struct cw_sched *s, uint64_t id)
+{
+    struct cw_job_run *j = *bucket_of(s, id);
+
+    while (j != NULL && j->id != id) {
+        j = j->bucket;
+    }
+    return j;
+}
+
+void
+cw_job_touch(struct cw_sched *s, struct cw_job_run *j)
+{
+    if (!j->is_dirty) {
+        j->is_dirty = true;
+        j->dirty = s->dirty;
+        s->dirty = j;
+    }
+}
+
+static void
+pool_add_job(struct cw_pool *p, struct cw_job_run *j)
+{
+    j->pool = p;
+    j->prev = NULL;
+    j->next = p->jobs;
+    if (j->next != NULL) {
+        j->next->prev = j;
+    }
+    p->jobs = j;
+}
+
+static void
+pool_remove_job(struct cw_job_run *j)
+{
+    if (j->pool == NULL) {
+        return;
+    }
+    if (j->prev != NULL) {
+        j->prev->next = j->next;
+    }
+    else {
+        j->pool->jobs = j->next;
+    }
+    if (j->next != NULL) {
+        j->next->prev = j->prev;
+    }
+    j->pool = NULL;
+}
+
+/* The longest chain of estimates through the steps. */
+static cw_ms
+chain_ms(const struct cw_job_spec *s)
+{
+    cw_ms end[CW_JOB_STEPS_MAX] = {0};
+    cw_ms longest = 0;
+
+    /* Steps may be listed in any order; one pass a step settles them all. */
+    for (size_t pass = 0; pass < s->step_count; pass++) {
+        for (size_t i = 0; i < s->step_count; i++) {
+            cw_ms from = 0;
+
+            for (size_t k = 0; k < s->step_count; k++) {
+                if ((s->steps[i].after >> k & 1) != 0 && end[k] > from) {
+                    from = end[k];
+                }
+            }
+            end[i] = from + s->steps[i].estimate_ms;
+            if (end[i] > longest) {
+                longest = end[i];
+            }
+        }
+    }
+    return longest;
+}
+
+/* Allocates the tasks of a job that has its spec. */
+static enum cw_status
+make_tasks(struct cw_job_run *j)
+{
+    const struct cw_job_spec *s = &j->spec;
+    size_t n = (size_t)cw_job_spec_width(s) * s->repeats;
+    size_t at = 0;
+
+    j->tasks = calloc(n, sizeof(*j->tasks));
+    j->open = calloc(s->step_count * s->repeats, sizeof(*j->open));
+    if (j->tasks == NULL || j->open == NULL) {
+        return CW_ERR_NOMEM;
+    }
+    for (uint32_t k = 0; k < s->repeats; k++) {
+        for (size_t i = 0; i < s->step_count; i++) {
+            j->open[k * s->step_count + i] = s->steps[i].count;
+            for (uint32_t x = 0; x < s->steps[i].count; x++) {
+                struct cw_task *t = &j->tasks[at++];
+
+                t->job = j;
+                t->occurrence = k;
+                t->step = (uint16_t)i;
+                t->index = x;
+                t->pace = 100;
+                t->restart_ok = true;
+                t->ready_at = j->accepted;
+                t->away_at = j->accepted;
+            }
+            j->lasting |= s->steps[i].lasting;
+        }
+    }
+    j->task_count = n;
+    return CW_OK;
+}
+
+/* Work of a job, for the forecast of demand. */
+static uint64_t
+spec_work(const struct cw_job_spec *s)
+{
+    uint64_t sum = 0;
+
+    for (size_t i = 0; i < s->step_count; i++) {
+        if (!s->steps[i].lasting) {
+            sum += (uint64_t)s->steps[i].count * s->steps[i].need.cpu_milli *
+                   s->steps[i].estimate_ms;
+        }
+    }
+    return sum * s->repeats;
+}
+
+struct cw_job_run *
+cw_sched_insert(struct cw_sched *s, struct cw_job_spec *spec, cw_ms now)
+{
+    struct cw_job_run *j = calloc(1, sizeof(*j));
+    struct cw_pool *p;
+    struct cw_job_run **b = bucket_of(s, spec->id);
+
+    if (j == NULL) {
+        return NULL;
+    }
+    j->id = spec->id;
+    j->queue = spec->rules.queue;
+    j->spec = *spec;
+    memset(spec, 0, sizeof(*spec));
+    j->accepted = j->spec.accepted_wall - s->wall_offset;
+    if (j->accepted > now || j->accepted < now - CW_DAY) {
+        j->accepted = now;
+    }
+    j->deadline = j->accepted + j->spec.rules.slo_ms +
+                  (cw_ms)(j->spec.rules.stretch * (double)chain_ms(&j->spec));
+    p = cw_sched_pool(s, cw_name_str(&j->spec.rules.service));
+    if (p == NULL || make_tasks(j) != CW_OK) {
+        job_free(j);
+        return NULL;
+    }
+    pool_add_job(p, j);
+    p->arrived_cpu_ms += spec_work(&j->spec);
+    j->bucket = *b;
+    *b = j;
+    s->job_count++;
+    return j;
+}
+
+struct cw_job_run *
+cw_sched_insert_ended(struct cw_sched *s, uint64_t id, struct cw_str queue)
+{
+    struct cw_job_run *j = calloc(1, sizeof(*j));
+    struct cw_job_run **b = bucket_of(s, id);
+
+    if (j == NULL) {
+        return NULL;
+    }
+    j->id = id;
+    if (cw_name_set(&j->queue, queue) != CW_OK) {
+        free(j);
+        return NULL;
+    }
+    j->bucket = *b;
+    *b = j;
+    s->job_count++;
+    return j;
+}
+
+enum cw_status
+cw_sched_accept(struct cw_sched *s, struct cw_job_spec *spec, cw_ms now,
+                struct cw_job_run **out)
+{
+    struct cw_job_run *j = cw_sched_job(s, spec->id);
+
+    *out = j;
+    if (j != NULL) {
+        return CW_ERR_CONFLICT;
+    }
+    spec->accepted_wall = now + s->wall_offset;
+    j = cw_sched_insert(s, spec, now);
+    *out = j;
+    if (j == NULL) {
+        return CW_ERR_NOMEM;
+    }
+    j->spec_dirty = true;
+    j->state_batch = s->batch;
+    cw_job_touch(s, j);
+    s->plan_due = true;
+    return CW_OK;
+}
+
+/* Releases what an ended job no longer needs once nothing of it runs. */
+void
+cw_job_settle(struct cw_sched *s, struct cw_job_run *j)
+{
+    if (!cw_job_ended(j)) {
+        return;
+    }
+    pool_remove_job(j);
+    for (size_t i = 0; i < j->task_count; i++) {
+        if (j->tasks[i].worker != NULL) {
+            return;
+        }
+    }
+    /* Starts that wait for their commit still point here. */
+    for (struct cw_task *t = s->unsent; t != NULL; t = t->unsent) {
+        if (t->job == j) {
+            return;
+        }
+    }
+    free(j->tasks);
+    j->tasks = NULL;
+    j->task_count = 0;
+    free(j->open);
+    j->open = NULL;
+    if (!j->spec_dirty) {
+        cw_job_spec_finish(&j->spec);
+    }
+}
+
+void
+cw_job_end(struct cw_sched *s, struct cw_job_run *j, enum cw_job_state st,
+           cw_ms now)
+{
+    j->state = (uint8_t)st;
+    j->ended = now;
+    j->ended_wall = now + s->wall_offset;
+    j->state_batch = s->batch;
+    cw_job_touch(s, j);
+    for (size_t i = 0; i < j->task_count; i++) {
+        struct cw_task *t = &j->tasks[i];
+
+        if (t->state == CW_RUN_ORDERED || t->state == CW_RUN_RUNNING) {
+            cw_sched_stop_task(s, t, false, now);
+        }
+        else if (t->state == CW_RUN_STOPPING) {
+            t->restart_ok = false;
+        }
+    }
+    s->plan_due = true;
+    cw_job_settle(s, j);
+}
+
+enum cw_status
+cw_sched_cancel(struct cw_sched *s, uint64_t id, cw_ms now)
+{
+    struct cw_job_run *j = cw_sched_job(s, id);
+
+    if (j == NULL) {
+        return CW_ERR_NOT_FOUND;
+    }
+    if (!cw_job_ended(j)) {
+        cw_job_end(s, j, CW_JOB_CANCELLED, now);
+    }
+    return CW_OK;
+}
+
+void
+cw_sched_committed(struct cw_sched *s, uint64_t batch)
+{
+    struct cw_task *keep = NULL;
+    struct cw_task *t = s->unsent;
+
+    s->committed = batch;
+    s->unsent = NULL;
+    while (t != NULL) {
+        struct cw_task *next = t->unsent;
+
+        t->unsent = NULL;
+        if (t->order_batch > batch) {
+            t->unsent = keep;
+            keep = t;
+        }
+        else if (t->state == CW_RUN_ORDERED) {
+            s->starts++;
+            s->ops->start(s->ctx, t);
+        }
+        t = next;
+    }
+    /* Starts that came up meanwhile stand in front. */
+    while (keep != NULL) {
+        struct cw_task *next = keep->unsent;
+
+        keep->unsent = s->unsent;
+        s->unsent = keep;
+        keep = next;
+    }
+    for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
+        for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
+            if (w->ack_batch <= batch && w->ack_next > w->acked) {
+                w->acked = w->ack_next;
+            }
+        }
+    }
+}
+
+void
+cw_sched_sweep(struct cw_sched *s, cw_ms now)
+{
+    for (size_t b = 0; b < CW_SCHED_BUCKETS; b++) {
+        struct cw_job_run **at = &s->buckets[b];
+
+        while (*at != NULL) {
+            struct cw_job_run *j = *at;
+
+            if (cw_job_ended(j)) {
+                cw_job_settle(s, j);
+            }
+            if (j->expired && !j->is_dirty) {
+                *at = j->bucket;
+                s->job_count--;
+                job_free(j);
+                continue;
+            }
+            if (cw_job_ended(j) && j->task_count == 0 && !j->is_dirty &&
+                now - j->ended > s->limits.status_ms) {
+                j->expired = true;
+                cw_job_touch(s, j);
+            }
+            at = &j->bucket;
+        }
+    }
+}
--- /dev/null
+++ b/packages/jobs/jobs_query.c
@@ -0,0 +1,118 @@
+/* Questions about jobs and tasks; nothing changes here. */
+#include "cw_jobs.h"
+
+bool
+cw_job_ended(const struct cw_job_run *j)
+{
+    return j->state >= CW_JOB_SUCCEEDED;
+}
+
+enum cw_job_state
+cw_job_shown(const struct cw_sched *s, const struct cw_job_run *j)
+{
+    if (cw_job_ended(j) && j->state_batch > s->committed) {
+        return j->started ? CW_JOB_RUNNING : CW_JOB_QUEUED;
+    }
+    return (enum cw_job_state)j->state;
+}
+
+const char *
+cw_job_state_name(enum cw_job_state st)
+{
+    static const char *const names[] = {"queued", "running", "succeeded",
+                                        "failed", "cancelled"};
+
+    return names[st];
+}
+
+uint32_t
+cw_sched_waiting(const struct cw_sched *s, struct cw_str queue)
+{
+    uint32_t n = 0;
+
+    for (const struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
+        for (const struct cw_job_run *j = p->jobs; j != NULL; j = j->next) {
+            if (!j->started && cw_str_eq(cw_name_str(&j->queue), queue)) {
+                n++;
+            }
+        }
+    }
+    return n;
+}
+
+const struct cw_step *
+cw_task_step(const struct cw_task *t)
+{
+    return &t->job->spec.steps[t->step];
+}
+
+struct cw_task *
+cw_sched_task(const struct cw_sched *s, const struct cw_run_row *r)
+{
+    struct cw_job_run *j = cw_sched_job(s, r->job);
+    size_t at;
+
+    if (j == NULL || j->task_count == 0 || r->step >= j->spec.step_count ||
+        r->occurrence >= j->spec.repeats ||
+        r->index >= j->spec.steps[r->step].count) {
+        return NULL;
+    }
+    at = (size_t)r->occurrence * cw_job_spec_width(&j->spec) + r->index;
+    for (uint32_t i = 0; i < r->step; i++) {
+        at += j->spec.steps[i].count;
+    }
+    return &j->tasks[at];
+}
+
+bool
+cw_task_ready(const struct cw_sched *s, const struct cw_task *t, cw_ms now)
+{
+    const struct cw_job_run *j = t->job;
+    const uint32_t *open = &j->open[t->occurrence * j->spec.step_count];
+    uint64_t after = cw_task_step(t)->after;
+
+    if (j->spec.first_wall != 0 &&
+        now + s->wall_offset <
+            j->spec.first_wall + (cw_ms)t->occurrence * j->spec.interval_ms) {
+        return false;
+    }
+    for (size_t i = 0; after != 0; i++, after >>= 1) {
+        if ((after & 1) != 0 && open[i] > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint32_t
+cw_step_away(const struct cw_sched *s, const struct cw_task *t, cw_ms now)
+{
+    const struct cw_job_run *j = t->job;
+    uint32_t n = 0;
+
+    (void)s;
+    (void)now;
+    for (size_t i = 0; i < j->task_count; i++) {
+        const struct cw_task *o = &j->tasks[i];
+
+        if (o->occurrence == t->occurrence && o->step == t->step &&
+            !(o->state == CW_RUN_RUNNING && o->at_work)) {
+            n++;
+        }
+    }
+    return n;
+}
+
+bool
+cw_task_may_stop(const struct cw_sched *s, const struct cw_task *t, cw_ms now)
+{
+    const struct cw_step *st = cw_task_step(t);
+
+    if (!st->lasting) {
+        return true;
+    }
+    /* A task that is not at work may be stopped freely; one at work only while
+     * fewer than may_miss others are away. */
+    return (t->state == CW_RUN_RUNNING && !t->at_work) ||
+           cw_step_away(s, t, now) < st->may_miss;
+}
--- a/packages/ports/cw_clients.c
+++ b/packages/ports/cw_clients.c
@@ -78,7 +78,7 @@
     CW_INVARIANT(text != NULL);
     cw_http_call(c,
                  &(struct cw_http_request){"POST", path, cw_str_from(text),
-                                           CW_PLATFORM_TIMEOUT_MS},
+                                           CW_PLATFORM_TIMEOUT_MS, NULL},
                  done, arg);
     free(text);
 }
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -208,6 +208,9 @@
 {
     cw_buf_addf(&call->text, "%s %s HTTP/1.1\r\nHost: %s\r\n", r->method,
                 r->path, call->client->address.text);
+    if (r->headers != NULL) {
+        cw_buf_add_str(&call->text, cw_str_from(r->headers));
+    }
     if (r->body.len > 0) {
         cw_buf_addf(&call->text,
                     "Content-Type: application/json\r\n"
--- a/packages/ports/cw_http_call.h
+++ b/packages/ports/cw_http_call.h
@@ -31,6 +31,7 @@
     const char *path;
     struct cw_str body; /* empty for none; sent as JSON */
     cw_ms timeout_ms;
+    const char *headers; /* further header lines with CRLF, or NULL */
 };
 
 struct cw_http_answer {
--- a/packages/ports/cw_log_client.c
+++ b/packages/ports/cw_log_client.c
@@ -58,7 +58,7 @@
     snprintf(path, sizeof(path), "/log/%s", stream);
     cw_http_call(&c->http,
                  &(struct cw_http_request){"POST", path, records,
-                                           CW_PLATFORM_TIMEOUT_MS},
+                                           CW_PLATFORM_TIMEOUT_MS, NULL},
                  on_appended, call);
 }
 
@@ -146,10 +146,11 @@
     char path[CW_NAME_MAX + 96];
     snprintf(path, sizeof(path), "/log/%s?from=%llu&max=%u&wait_ms=%lld",
              stream, (unsigned long long)from, max, (long long)wait_ms);
-    cw_http_call(&c->http,
-                 &(struct cw_http_request){
-                     "GET", path, {NULL, 0}, wait_ms + CW_PLATFORM_TIMEOUT_MS},
-                 on_read, call);
+    cw_http_call(
+        &c->http,
+        &(struct cw_http_request){
+            "GET", path, {NULL, 0}, wait_ms + CW_PLATFORM_TIMEOUT_MS, NULL},
+        on_read, call);
 }
 
 void
--- a/packages/ports/cw_pool_client.c
+++ b/packages/ports/cw_pool_client.c
@@ -105,7 +105,7 @@
     snprintf(path, sizeof(path), "/pool/vm/%s", vm);
     cw_http_call(&c->http,
                  &(struct cw_http_request){
-                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS},
+                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS, NULL},
                  on_status, call);
 }
 
--- a/packages/ports/cw_vmlist_client.c
+++ b/packages/ports/cw_vmlist_client.c
@@ -87,7 +87,7 @@
     snprintf(path, sizeof(path), "/vms?since=%llu", (unsigned long long)since);
     cw_http_call(&c->http,
                  &(struct cw_http_request){
-                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS},
+                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS, NULL},
                  on_list, call);
 }
 
--- a/packages/ports/cw_worker_client.c
+++ b/packages/ports/cw_worker_client.c
@@ -127,7 +127,7 @@
              cells, (unsigned long long)since);
     cw_http_call(&c->http,
                  &(struct cw_http_request){
-                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS},
+                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS, NULL},
                  on_reports, call);
 }
 
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -727,6 +727,276 @@
   assert(message->base.descriptor == &cuminwalk__state_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cuminwalk__job_step__init
+                     (Cuminwalk__JobStep         *message)
+{
+  static const Cuminwalk__JobStep init_value = CUMINWALK__JOB_STEP__INIT;
+  *message = init_value;
+}
+size_t cuminwalk__job_step__get_packed_size
+                     (const Cuminwalk__JobStep *message)
+{
+  assert(message->base.descriptor == &cuminwalk__job_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cuminwalk__job_step__pack
+                     (const Cuminwalk__JobStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cuminwalk__job_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cuminwalk__job_step__pack_to_buffer
+                     (const Cuminwalk__JobStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cuminwalk__job_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cuminwalk__JobStep *
+       cuminwalk__job_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cuminwalk__JobStep *)
+     protobuf_c_message_unpack (&cuminwalk__job_step__descriptor,
+                                allocator, len, data);
+}
+void   cuminwalk__job_step__free_unpacked
+                     (Cuminwalk__JobStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cuminwalk__job_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cuminwalk__job_spec__init
+                     (Cuminwalk__JobSpec         *message)
+{
+  static const Cuminwalk__JobSpec init_value = CUMINWALK__JOB_SPEC__INIT;
+  *message = init_value;
+}
+size_t cuminwalk__job_spec__get_packed_size
+                     (const Cuminwalk__JobSpec *message)
+{
+  assert(message->base.descriptor == &cuminwalk__job_spec__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cuminwalk__job_spec__pack
+                     (const Cuminwalk__JobSpec *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cuminwalk__job_spec__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cuminwalk__job_spec__pack_to_buffer
+                     (const Cuminwalk__JobSpec *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cuminwalk__job_spec__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cuminwalk__JobSpec *
+       cuminwalk__job_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cuminwalk__JobSpec *)
+     protobuf_c_message_unpack (&cuminwalk__job_spec__descriptor,
+                                allocator, len, data);
+}
+void   cuminwalk__job_spec__free_unpacked
+                     (Cuminwalk__JobSpec *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cuminwalk__job_spec__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cuminwalk__job_task__init
+                     (Cuminwalk__JobTask         *message)
+{
+  static const Cuminwalk__JobTask init_value = CUMINWALK__JOB_TASK__INIT;
+  *message = init_value;
+}
+size_t cuminwalk__job_task__get_packed_size
+                     (const Cuminwalk__JobTask *message)
+{
+  assert(message->base.descriptor == &cuminwalk__job_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cuminwalk__job_task__pack
+                     (const Cuminwalk__JobTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cuminwalk__job_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cuminwalk__job_task__pack_to_buffer
+                     (const Cuminwalk__JobTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cuminwalk__job_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cuminwalk__JobTask *
+       cuminwalk__job_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cuminwalk__JobTask *)
+     protobuf_c_message_unpack (&cuminwalk__job_task__descriptor,
+                                allocator, len, data);
+}
+void   cuminwalk__job_task__free_unpacked
+                     (Cuminwalk__JobTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cuminwalk__job_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cuminwalk__job_progress__init
+                     (Cuminwalk__JobProgress         *message)
+{
+  static const Cuminwalk__JobProgress init_value = CUMINWALK__JOB_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t cuminwalk__job_progress__get_packed_size
+                     (const Cuminwalk__JobProgress *message)
+{
+  assert(message->base.descriptor == &cuminwalk__job_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cuminwalk__job_progress__pack
+                     (const Cuminwalk__JobProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cuminwalk__job_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cuminwalk__job_progress__pack_to_buffer
+                     (const Cuminwalk__JobProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cuminwalk__job_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cuminwalk__JobProgress *
+       cuminwalk__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cuminwalk__JobProgress *)
+     protobuf_c_message_unpack (&cuminwalk__job_progress__descriptor,
+                                allocator, len, data);
+}
+void   cuminwalk__job_progress__free_unpacked
+                     (Cuminwalk__JobProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cuminwalk__job_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cuminwalk__job_call__init
+                     (Cuminwalk__JobCall         *message)
+{
+  static const Cuminwalk__JobCall init_value = CUMINWALK__JOB_CALL__INIT;
+  *message = init_value;
+}
+size_t cuminwalk__job_call__get_packed_size
+                     (const Cuminwalk__JobCall *message)
+{
+  assert(message->base.descriptor == &cuminwalk__job_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cuminwalk__job_call__pack
+                     (const Cuminwalk__JobCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cuminwalk__job_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cuminwalk__job_call__pack_to_buffer
+                     (const Cuminwalk__JobCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cuminwalk__job_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cuminwalk__JobCall *
+       cuminwalk__job_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cuminwalk__JobCall *)
+     protobuf_c_message_unpack (&cuminwalk__job_call__descriptor,
+                                allocator, len, data);
+}
+void   cuminwalk__job_call__free_unpacked
+                     (Cuminwalk__JobCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cuminwalk__job_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cuminwalk__job_answer__init
+                     (Cuminwalk__JobAnswer         *message)
+{
+  static const Cuminwalk__JobAnswer init_value = CUMINWALK__JOB_ANSWER__INIT;
+  *message = init_value;
+}
+size_t cuminwalk__job_answer__get_packed_size
+                     (const Cuminwalk__JobAnswer *message)
+{
+  assert(message->base.descriptor == &cuminwalk__job_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cuminwalk__job_answer__pack
+                     (const Cuminwalk__JobAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cuminwalk__job_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cuminwalk__job_answer__pack_to_buffer
+                     (const Cuminwalk__JobAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cuminwalk__job_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cuminwalk__JobAnswer *
+       cuminwalk__job_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cuminwalk__JobAnswer *)
+     protobuf_c_message_unpack (&cuminwalk__job_answer__descriptor,
+                                allocator, len, data);
+}
+void   cuminwalk__job_answer__free_unpacked
+                     (Cuminwalk__JobAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cuminwalk__job_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cuminwalk__envelope__init
                      (Cuminwalk__Envelope         *message)
 {
@@ -2083,136 +2353,1012 @@
   (ProtobufCMessageInit) cuminwalk__state_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__envelope__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cuminwalk__job_step__field_descriptors[18] =
 {
   {
-    "version",
+    "count",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cuminwalk__Envelope, version),
+    offsetof(Cuminwalk__JobStep, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hello",
+    "cpu_milli",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, hello),
-    &cuminwalk__hello__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, cpu_milli),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
+    "memory_mb",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, heartbeat),
-    &cuminwalk__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, memory_mb),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward_request",
+    "accelerators",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, forward_request),
-    &cuminwalk__forward_request__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, accelerators),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward_head",
+    "estimate_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, forward_head),
-    &cuminwalk__forward_head__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, estimate_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward_body",
+    "after",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, forward_body),
-    &cuminwalk__forward_body__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cuminwalk__JobStep, n_after),
+    offsetof(Cuminwalk__JobStep, after),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward_end",
+    "checkpoints",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, forward_end),
-    &cuminwalk__forward_end__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, checkpoints),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward_window",
+    "gang",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, forward_window),
-    &cuminwalk__forward_window__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, gang),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "forward_cancel",
+    "same_rack",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, forward_cancel),
-    &cuminwalk__forward_cancel__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, same_rack),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state_request",
+    "speculative",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, state_request),
-    &cuminwalk__state_request__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, speculative),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state_part",
+    "lasting",
     11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cuminwalk__Envelope, msg_case),
-    offsetof(Cuminwalk__Envelope, state_part),
-    &cuminwalk__state_part__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, lasting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backfill",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, backfill),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "required_label",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, required_label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_rack",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, data_rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_per_worker",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, max_per_worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "may_miss",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobStep, may_miss),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cuminwalk__job_step__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  5,   /* field[5] = after */
+  11,   /* field[11] = backfill */
+  6,   /* field[6] = checkpoints */
+  0,   /* field[0] = count */
+  1,   /* field[1] = cpu_milli */
+  13,   /* field[13] = data_rack */
+  4,   /* field[4] = estimate_ms */
+  7,   /* field[7] = gang */
+  15,   /* field[15] = image */
+  10,   /* field[10] = lasting */
+  14,   /* field[14] = max_per_worker */
+  17,   /* field[17] = may_miss */
+  2,   /* field[2] = memory_mb */
+  12,   /* field[12] = required_label */
+  8,   /* field[8] = same_rack */
+  9,   /* field[9] = speculative */
+  16,   /* field[16] = target_ms */
+};
+static const ProtobufCIntRange cuminwalk__job_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 18 }
+};
+const ProtobufCMessageDescriptor cuminwalk__job_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cuminwalk.JobStep",
+  "JobStep",
+  "Cuminwalk__JobStep",
+  "cuminwalk",
+  sizeof(Cuminwalk__JobStep),
+  18,
+  cuminwalk__job_step__field_descriptors,
+  cuminwalk__job_step__field_indices_by_name,
+  1,  cuminwalk__job_step__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__job_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cuminwalk__job_spec__field_descriptors[13] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slo_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, slo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_wall",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, accepted_wall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, spec),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__JobSpec, n_steps),
+    offsetof(Cuminwalk__JobSpec, steps),
+    &cuminwalk__job_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_wall",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, first_wall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "interval_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobSpec, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cuminwalk__job_spec__field_indices_by_name[] = {
+  7,   /* field[7] = accepted_wall */
+  11,   /* field[11] = first_wall */
+  0,   /* field[0] = id */
+  12,   /* field[12] = interval_ms */
+  4,   /* field[4] = max_attempts */
+  3,   /* field[3] = priority */
+  1,   /* field[1] = queue */
+  10,   /* field[10] = repeats */
+  2,   /* field[2] = service */
+  6,   /* field[6] = slo_ms */
+  8,   /* field[8] = spec */
+  9,   /* field[9] = steps */
+  5,   /* field[5] = stretch */
+};
+static const ProtobufCIntRange cuminwalk__job_spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor cuminwalk__job_spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cuminwalk.JobSpec",
+  "JobSpec",
+  "Cuminwalk__JobSpec",
+  "cuminwalk",
+  sizeof(Cuminwalk__JobSpec),
+  13,
+  cuminwalk__job_spec__field_descriptors,
+  cuminwalk__job_spec__field_indices_by_name,
+  1,  cuminwalk__job_spec__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__job_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[6] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cuminwalk__job_task__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint */
+  3,   /* field[3] = failures */
+  0,   /* field[0] = index */
+  2,   /* field[2] = run */
+  1,   /* field[1] = state */
+  4,   /* field[4] = worker */
+};
+static const ProtobufCIntRange cuminwalk__job_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cuminwalk__job_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cuminwalk.JobTask",
+  "JobTask",
+  "Cuminwalk__JobTask",
+  "cuminwalk",
+  sizeof(Cuminwalk__JobTask),
+  6,
+  cuminwalk__job_task__field_descriptors,
+  cuminwalk__job_task__field_indices_by_name,
+  1,  cuminwalk__job_task__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__job_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cuminwalk__job_progress__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobProgress, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobProgress, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_wall",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobProgress, ended_wall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobProgress, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__JobProgress, n_tasks),
+    offsetof(Cuminwalk__JobProgress, tasks),
+    &cuminwalk__job_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cuminwalk__job_progress__field_indices_by_name[] = {
+  2,   /* field[2] = ended_wall */
+  0,   /* field[0] = id */
+  3,   /* field[3] = queue */
+  1,   /* field[1] = state */
+  4,   /* field[4] = tasks */
+};
+static const ProtobufCIntRange cuminwalk__job_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cuminwalk__job_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cuminwalk.JobProgress",
+  "JobProgress",
+  "Cuminwalk__JobProgress",
+  "cuminwalk",
+  sizeof(Cuminwalk__JobProgress),
+  5,
+  cuminwalk__job_progress__field_descriptors,
+  cuminwalk__job_progress__field_indices_by_name,
+  1,  cuminwalk__job_progress__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__job_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cuminwalk__job_call__field_descriptors[6] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobCall, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobCall, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobCall, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobCall, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobCall, spec),
+    &cuminwalk__job_spec__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobCall, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cuminwalk__job_call__field_indices_by_name[] = {
+  2,   /* field[2] = id */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = queue */
+  4,   /* field[4] = spec */
+  0,   /* field[0] = stream */
+  5,   /* field[5] = timeout_ms */
+};
+static const ProtobufCIntRange cuminwalk__job_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cuminwalk__job_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cuminwalk.JobCall",
+  "JobCall",
+  "Cuminwalk__JobCall",
+  "cuminwalk",
+  sizeof(Cuminwalk__JobCall),
+  6,
+  cuminwalk__job_call__field_descriptors,
+  cuminwalk__job_call__field_indices_by_name,
+  1,  cuminwalk__job_call__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__job_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cuminwalk__job_answer__field_descriptors[6] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, holder),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cuminwalk__job_answer__field_indices_by_name[] = {
+  5,   /* field[5] = holder */
+  1,   /* field[1] = result */
+  4,   /* field[4] = retry_after_ms */
+  2,   /* field[2] = state */
+  0,   /* field[0] = stream */
+  3,   /* field[3] = waiting */
+};
+static const ProtobufCIntRange cuminwalk__job_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cuminwalk__job_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cuminwalk.JobAnswer",
+  "JobAnswer",
+  "Cuminwalk__JobAnswer",
+  "cuminwalk",
+  sizeof(Cuminwalk__JobAnswer),
+  6,
+  cuminwalk__job_answer__field_descriptors,
+  cuminwalk__job_answer__field_indices_by_name,
+  1,  cuminwalk__job_answer__number_ranges,
+  (ProtobufCMessageInit) cuminwalk__job_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cuminwalk__envelope__field_descriptors[13] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__Envelope, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, hello),
+    &cuminwalk__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, heartbeat),
+    &cuminwalk__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, forward_request),
+    &cuminwalk__forward_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_head",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, forward_head),
+    &cuminwalk__forward_head__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, forward_body),
+    &cuminwalk__forward_body__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_end",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, forward_end),
+    &cuminwalk__forward_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_window",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, forward_window),
+    &cuminwalk__forward_window__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward_cancel",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, forward_cancel),
+    &cuminwalk__forward_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_request",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, state_request),
+    &cuminwalk__state_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_part",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, state_part),
+    &cuminwalk__state_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_call",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, job_call),
+    &cuminwalk__job_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_answer",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cuminwalk__Envelope, msg_case),
+    offsetof(Cuminwalk__Envelope, job_answer),
+    &cuminwalk__job_answer__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -2227,6 +3373,8 @@
   7,   /* field[7] = forward_window */
   2,   /* field[2] = heartbeat */
   1,   /* field[1] = hello */
+  12,   /* field[12] = job_answer */
+  11,   /* field[11] = job_call */
   10,   /* field[10] = state_part */
   9,   /* field[9] = state_request */
   0,   /* field[0] = version */
@@ -2234,7 +3382,7 @@
 static const ProtobufCIntRange cuminwalk__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cuminwalk__envelope__descriptor =
 {
@@ -2244,7 +3392,7 @@
   "Cuminwalk__Envelope",
   "cuminwalk",
   sizeof(Cuminwalk__Envelope),
-  11,
+  13,
   cuminwalk__envelope__field_descriptors,
   cuminwalk__envelope__field_indices_by_name,
   1,  cuminwalk__envelope__number_ranges,
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -31,6 +31,12 @@
 typedef struct Cuminwalk__ForwardCancel Cuminwalk__ForwardCancel;
 typedef struct Cuminwalk__StateRequest Cuminwalk__StateRequest;
 typedef struct Cuminwalk__StatePart Cuminwalk__StatePart;
+typedef struct Cuminwalk__JobStep Cuminwalk__JobStep;
+typedef struct Cuminwalk__JobSpec Cuminwalk__JobSpec;
+typedef struct Cuminwalk__JobTask Cuminwalk__JobTask;
+typedef struct Cuminwalk__JobProgress Cuminwalk__JobProgress;
+typedef struct Cuminwalk__JobCall Cuminwalk__JobCall;
+typedef struct Cuminwalk__JobAnswer Cuminwalk__JobAnswer;
 typedef struct Cuminwalk__Envelope Cuminwalk__Envelope;
 
 
@@ -285,6 +291,117 @@
     , 0, 0, 0, {0,NULL} }
 
 
+struct  Cuminwalk__JobStep
+{
+  ProtobufCMessage base;
+  uint32_t count;
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  uint32_t estimate_ms;
+  size_t n_after;
+  uint32_t *after;
+  protobuf_c_boolean checkpoints;
+  protobuf_c_boolean gang;
+  protobuf_c_boolean same_rack;
+  protobuf_c_boolean speculative;
+  protobuf_c_boolean lasting;
+  protobuf_c_boolean backfill;
+  char *required_label;
+  char *data_rack;
+  uint32_t max_per_worker;
+  char *image;
+  uint32_t target_ms;
+  uint32_t may_miss;
+};
+#define CUMINWALK__JOB_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_step__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cuminwalk__JobSpec
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *queue;
+  char *service;
+  uint32_t priority;
+  uint32_t max_attempts;
+  double stretch;
+  int64_t slo_ms;
+  int64_t accepted_wall;
+  char *spec;
+  size_t n_steps;
+  Cuminwalk__JobStep **steps;
+  uint32_t repeats;
+  int64_t first_wall;
+  int64_t interval_ms;
+};
+#define CUMINWALK__JOB_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_spec__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+
+
+struct  Cuminwalk__JobTask
+{
+  ProtobufCMessage base;
+  uint32_t index;
+  uint32_t state;
+  uint32_t run;
+  uint32_t failures;
+  char *worker;
+  char *checkpoint;
+};
+#define CUMINWALK__JOB_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_task__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Cuminwalk__JobProgress
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t state;
+  int64_t ended_wall;
+  char *queue;
+  size_t n_tasks;
+  Cuminwalk__JobTask **tasks;
+};
+#define CUMINWALK__JOB_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_progress__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Cuminwalk__JobCall
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  uint32_t kind;
+  uint64_t id;
+  char *queue;
+  Cuminwalk__JobSpec *spec;
+  uint32_t timeout_ms;
+};
+#define CUMINWALK__JOB_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_call__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, NULL, 0 }
+
+
+struct  Cuminwalk__JobAnswer
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  uint32_t result;
+  uint32_t state;
+  uint32_t waiting;
+  uint32_t retry_after_ms;
+  char *holder;
+};
+#define CUMINWALK__JOB_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_answer__descriptor) \
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   CUMINWALK__ENVELOPE__MSG__NOT_SET = 0,
   CUMINWALK__ENVELOPE__MSG_HELLO = 2,
@@ -296,7 +413,9 @@
   CUMINWALK__ENVELOPE__MSG_FORWARD_WINDOW = 8,
   CUMINWALK__ENVELOPE__MSG_FORWARD_CANCEL = 9,
   CUMINWALK__ENVELOPE__MSG_STATE_REQUEST = 10,
-  CUMINWALK__ENVELOPE__MSG_STATE_PART = 11
+  CUMINWALK__ENVELOPE__MSG_STATE_PART = 11,
+  CUMINWALK__ENVELOPE__MSG_JOB_CALL = 12,
+  CUMINWALK__ENVELOPE__MSG_JOB_ANSWER = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CUMINWALK__ENVELOPE__MSG__CASE)
 } Cuminwalk__Envelope__MsgCase;
 
@@ -316,6 +435,8 @@
     Cuminwalk__ForwardCancel *forward_cancel;
     Cuminwalk__StateRequest *state_request;
     Cuminwalk__StatePart *state_part;
+    Cuminwalk__JobCall *job_call;
+    Cuminwalk__JobAnswer *job_answer;
   };
 };
 #define CUMINWALK__ENVELOPE__INIT \
@@ -627,6 +748,120 @@
 void   cuminwalk__state_part__free_unpacked
                      (Cuminwalk__StatePart *message,
                       ProtobufCAllocator *allocator);
+/* Cuminwalk__JobStep methods */
+void   cuminwalk__job_step__init
+                     (Cuminwalk__JobStep         *message);
+size_t cuminwalk__job_step__get_packed_size
+                     (const Cuminwalk__JobStep   *message);
+size_t cuminwalk__job_step__pack
+                     (const Cuminwalk__JobStep   *message,
+                      uint8_t             *out);
+size_t cuminwalk__job_step__pack_to_buffer
+                     (const Cuminwalk__JobStep   *message,
+                      ProtobufCBuffer     *buffer);
+Cuminwalk__JobStep *
+       cuminwalk__job_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cuminwalk__job_step__free_unpacked
+                     (Cuminwalk__JobStep *message,
+                      ProtobufCAllocator *allocator);
+/* Cuminwalk__JobSpec methods */
+void   cuminwalk__job_spec__init
+                     (Cuminwalk__JobSpec         *message);
+size_t cuminwalk__job_spec__get_packed_size
+                     (const Cuminwalk__JobSpec   *message);
+size_t cuminwalk__job_spec__pack
+                     (const Cuminwalk__JobSpec   *message,
+                      uint8_t             *out);
+size_t cuminwalk__job_spec__pack_to_buffer
+                     (const Cuminwalk__JobSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Cuminwalk__JobSpec *
+       cuminwalk__job_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cuminwalk__job_spec__free_unpacked
+                     (Cuminwalk__JobSpec *message,
+                      ProtobufCAllocator *allocator);
+/* Cuminwalk__JobTask methods */
+void   cuminwalk__job_task__init
+                     (Cuminwalk__JobTask         *message);
+size_t cuminwalk__job_task__get_packed_size
+                     (const Cuminwalk__JobTask   *message);
+size_t cuminwalk__job_task__pack
+                     (const Cuminwalk__JobTask   *message,
+                      uint8_t             *out);
+size_t cuminwalk__job_task__pack_to_buffer
+                     (const Cuminwalk__JobTask   *message,
+                      ProtobufCBuffer     *buffer);
+Cuminwalk__JobTask *
+       cuminwalk__job_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cuminwalk__job_task__free_unpacked
+                     (Cuminwalk__JobTask *message,
+                      ProtobufCAllocator *allocator);
+/* Cuminwalk__JobProgress methods */
+void   cuminwalk__job_progress__init
+                     (Cuminwalk__JobProgress         *message);
+size_t cuminwalk__job_progress__get_packed_size
+                     (const Cuminwalk__JobProgress   *message);
+size_t cuminwalk__job_progress__pack
+                     (const Cuminwalk__JobProgress   *message,
+                      uint8_t             *out);
+size_t cuminwalk__job_progress__pack_to_buffer
+                     (const Cuminwalk__JobProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Cuminwalk__JobProgress *
+       cuminwalk__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cuminwalk__job_progress__free_unpacked
+                     (Cuminwalk__JobProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Cuminwalk__JobCall methods */
+void   cuminwalk__job_call__init
+                     (Cuminwalk__JobCall         *message);
+size_t cuminwalk__job_call__get_packed_size
+                     (const Cuminwalk__JobCall   *message);
+size_t cuminwalk__job_call__pack
+                     (const Cuminwalk__JobCall   *message,
+                      uint8_t             *out);
+size_t cuminwalk__job_call__pack_to_buffer
+                     (const Cuminwalk__JobCall   *message,
+                      ProtobufCBuffer     *buffer);
+Cuminwalk__JobCall *
+       cuminwalk__job_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cuminwalk__job_call__free_unpacked
+                     (Cuminwalk__JobCall *message,
+                      ProtobufCAllocator *allocator);
+/* Cuminwalk__JobAnswer methods */
+void   cuminwalk__job_answer__init
+                     (Cuminwalk__JobAnswer         *message);
+size_t cuminwalk__job_answer__get_packed_size
+                     (const Cuminwalk__JobAnswer   *message);
+size_t cuminwalk__job_answer__pack
+                     (const Cuminwalk__JobAnswer   *message,
+                      uint8_t             *out);
+size_t cuminwalk__job_answer__pack_to_buffer
+                     (const Cuminwalk__JobAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Cuminwalk__JobAnswer *
+       cuminwalk__job_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cuminwalk__job_answer__free_unpacked
+                     (Cuminwalk__JobAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Cuminwalk__Envelope methods */
 void   cuminwalk__envelope__init
                      (Cuminwalk__Envelope         *message);
@@ -696,6 +931,24 @@
 typedef void (*Cuminwalk__StatePart_Closure)
                  (const Cuminwalk__StatePart *message,
                   void *closure_data);
+typedef void (*Cuminwalk__JobStep_Closure)
+                 (const Cuminwalk__JobStep *message,
+                  void *closure_data);
+typedef void (*Cuminwalk__JobSpec_Closure)
+                 (const Cuminwalk__JobSpec *message,
+                  void *closure_data);
+typedef void (*Cuminwalk__JobTask_Closure)
+                 (const Cuminwalk__JobTask *message,
+                  void *closure_data);
+typedef void (*Cuminwalk__JobProgress_Closure)
+                 (const Cuminwalk__JobProgress *message,
+                  void *closure_data);
+typedef void (*Cuminwalk__JobCall_Closure)
+                 (const Cuminwalk__JobCall *message,
+                  void *closure_data);
+typedef void (*Cuminwalk__JobAnswer_Closure)
+                 (const Cuminwalk__JobAnswer *message,
+                  void *closure_data);
 typedef void (*Cuminwalk__Envelope_Closure)
                  (const Cuminwalk__Envelope *message,
                   void *closure_data);
@@ -722,6 +975,12 @@
 extern const ProtobufCMessageDescriptor cuminwalk__forward_cancel__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__state_request__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__state_part__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__job_step__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__job_spec__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__job_task__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__job_progress__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__job_call__descriptor;
+extern const ProtobufCMessageDescriptor cuminwalk__job_answer__descriptor;
 extern const ProtobufCMessageDescriptor cuminwalk__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
