--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -424,6 +424,7 @@
  * included. */
 struct cw_pool_load {
     uint64_t running_cpu;
+    uint64_t lasting_cpu;  /* of these, without an end */
     uint64_t waiting_cpu;  /* tasks that may start now */
     uint64_t capacity_cpu; /* of workers that take tasks */
     uint32_t workers;      /* up, not draining */
--- /dev/null
+++ b/packages/jobs/fleet_plan.c
@@ -0,0 +1,214 @@
+/* Which VMs change their pool, and which are maintained next. */
+#include "cw_fleet.h"
+
+#include <string.h>
+
+uint32_t
+cw_pool_wanted(const struct cw_pool_view *p)
+{
+    double room = CW_POOL_FILL * (double)p->vm_cpu;
+    uint32_t n = room <= 0 ? 0 : (uint32_t)((double)p->need_cpu / room);
+
+    if (room > 0 && (double)n * room < (double)p->need_cpu) {
+        n++;
+    }
+    return n > p->least ? n : p->least;
+}
+
+/* The pool that lacks most VMs, or n. */
+static size_t
+neediest(const struct cw_pool_view *pools, size_t n)
+{
+    size_t best = n;
+    uint32_t most = 0;
+
+    for (size_t i = 0; i < n; i++) {
+        uint32_t want = cw_pool_wanted(&pools[i]);
+
+        if (!pools[i].spare && want > pools[i].vms &&
+            want - pools[i].vms > most) {
+            most = want - pools[i].vms;
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Idle VMs that a pool can give away. */
+static uint32_t
+surplus(const struct cw_pool_view *p)
+{
+    uint32_t want = p->spare ? 0 : cw_pool_wanted(p);
+    uint32_t over = p->vms > want ? p->vms - want : 0;
+
+    return over < p->idle ? over : p->idle;
+}
+
+/* The pool to take a VM from, or n: a running VM first, as it costs already,
+ * from the pool with the largest surplus; then one that is off. */
+static size_t
+giver(const struct cw_pool_view *pools, size_t n)
+{
+    size_t best = n;
+    uint32_t most = 0;
+
+    for (size_t i = 0; i < n; i++) {
+        if (!pools[i].spare && surplus(&pools[i]) > most) {
+            most = surplus(&pools[i]);
+            best = i;
+        }
+    }
+    for (size_t i = 0; best == n && i < n; i++) {
+        if (pools[i].spare && pools[i].idle > 0) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static void
+transfer(struct cw_pool_view *pools, size_t from, size_t to,
+         struct cw_vm_transfer *out, size_t *count)
+{
+    pools[from].vms--;
+    pools[from].idle--;
+    pools[to].vms++;
+    for (size_t i = 0; i < *count; i++) {
+        if (out[i].from == from && out[i].to == to) {
+            out[i].count++;
+            return;
+        }
+    }
+    out[(*count)++] = (struct cw_vm_transfer){from, to, 1};
+}
+
+#define POOLS_MAX 128
+
+size_t
+cw_fleet_transfers(const struct cw_pool_view *in, size_t n,
+                   struct cw_vm_transfer *out)
+{
+    struct cw_pool_view pools[POOLS_MAX];
+    size_t count = 0;
+    size_t spare = n;
+
+    if (n > POOLS_MAX) {
+        return 0;
+    }
+    memcpy(pools, in, n * sizeof(*in));
+    for (;;) {
+        size_t to = neediest(pools, n);
+        size_t from = giver(pools, n);
+
+        if (to == n || from == n) {
+            break;
+        }
+        transfer(pools, from, to, out, &count);
+    }
+    for (size_t i = 0; i < n; i++) {
+        spare = pools[i].spare ? i : spare;
+    }
+    for (size_t i = 0; spare < n && i < n; i++) {
+        uint32_t can = pools[i].spare ? 0 : surplus(&pools[i]);
+        uint32_t old = pools[i].idle_long;
+
+        for (uint32_t k = 0; k < can && k < old; k++) {
+            transfer(pools, i, spare, out, &count);
+        }
+    }
+    return count;
+}
+
+/* ---- waves -----------------------------------------------------------------
+ */
+
+/* VMs cleared at a time while the wave is in time, and the share of the
+ * duration by which all should be done. */
+#define CLEAR_AT_ONCE 2
+#define IN_TIME 0.7
+
+bool
+cw_upkeep_done(const struct cw_upkeep_vm *vms, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (!vms[i].done && !vms[i].absent) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The VM to clear that costs least: few lasting tasks, then little load. */
+static size_t
+cheapest(const struct cw_upkeep_vm *vms, size_t n, const bool *taken)
+{
+    size_t best = n;
+
+    for (size_t i = 0; i < n; i++) {
+        const struct cw_upkeep_vm *v = &vms[i];
+
+        if (v->done || v->absent || v->busy || v->clearing || taken[i]) {
+            continue;
+        }
+        if (best == n || v->lasting < vms[best].lasting ||
+            (v->lasting == vms[best].lasting &&
+             v->used_cpu < vms[best].used_cpu)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+void
+cw_upkeep_decide(const struct cw_upkeep_vm *vms, size_t n, uint32_t at_once,
+                 cw_ms elapsed_ms, cw_ms duration_ms,
+                 struct cw_upkeep_plan *out)
+{
+    static bool taken[CW_JOB_TASKS_MAX];
+    uint32_t down = 0;
+    uint32_t left = 0;
+    uint32_t clearing = 0;
+    uint32_t most;
+    double pace = duration_ms <= 0
+                      ? 1
+                      : (double)elapsed_ms / (IN_TIME * (double)duration_ms);
+
+    memset(out, 0, sizeof(*out));
+    if (n > CW_JOB_TASKS_MAX) {
+        return;
+    }
+    memset(taken, 0, n * sizeof(*taken));
+    for (size_t i = 0; i < n; i++) {
+        down += vms[i].down ? 1 : 0;
+        left += !vms[i].done && !vms[i].absent ? 1 : 0;
+        clearing += vms[i].clearing && !vms[i].done ? 1 : 0;
+    }
+    for (size_t i = 0; i < n && down < at_once; i++) {
+        if (!vms[i].done && !vms[i].absent && !vms[i].busy &&
+            vms[i].tasks == 0 && out->order < CW_JOB_STEPS_MAX) {
+            out->pick[out->order++] = i;
+            taken[i] = true;
+            down++;
+            left--;
+        }
+    }
+    /* Behind the even pace more VMs are cleared at a time. */
+    most = CLEAR_AT_ONCE;
+    if (n > 0 && 1.0 - (double)left / (double)n < pace) {
+        most +=
+            (uint32_t)((pace - 1.0 + (double)left / (double)n) * (double)n);
+    }
+    if (most > at_once) {
+        most = at_once > 0 ? at_once : 1;
+    }
+    while (clearing < most && out->clear < CW_JOB_STEPS_MAX) {
+        size_t i = cheapest(vms, n, taken);
+
+        if (i == n) {
+            break;
+        }
+        taken[i] = true;
+        clearing++;
+        out->pick[out->order + out->clear++] = i;
+    }
+}
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -436,6 +436,13 @@
         l.workers++;
         l.running_cpu += w->used.cpu_milli;
         l.idle += w->task_count == 0 ? 1 : 0;
+        for (const struct cw_task *t = w->tasks; t != NULL; t = t->next) {
+            const struct cw_step *st = cw_task_step(t);
+
+            if (st->lasting && !st->backfill) {
+                l.lasting_cpu += st->need.cpu_milli;
+            }
+        }
         if (takes_work(w, now)) {
             l.capacity_cpu += w->capacity.cpu_milli;
         }
--- a/packages/jobs/jobs_query.c
+++ b/packages/jobs/jobs_query.c
@@ -112,7 +112,8 @@
         return true;
     }
     /* A task that is not at work may be stopped freely; one at work only while
-     * fewer than may_miss others are away. */
+     * fewer than may_miss others are away, and one at a time without a
+     * limit. */
     return (t->state == CW_RUN_RUNNING && !t->at_work) ||
-           cw_step_away(s, t, now) < st->may_miss;
+           cw_step_away(s, t, now) < (st->may_miss > 0 ? st->may_miss : 1);
 }
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -468,7 +468,7 @@
         t->since = now;
     }
     if (cw_task_step(t)->lasting && t->state == CW_RUN_RUNNING) {
-        t->at_work = r->percent >= AT_WORK_PERCENT || t->at_work;
+        t->at_work = r->percent >= AT_WORK_PERCENT;
     }
     if (t->state == CW_RUN_STOPPING && t->order_batch == 0) {
         /* Recorded by a former scheduler: its stop may not have come. */
