Settle unanswered starts before a task is given elsewhere; number takeovers

An old run is now left to the worker's report, and any other refusal after an unanswered send is settled by a stop first.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -163,7 +163,8 @@
                    (unsigned long long)o->row.job, o->row.occurrence,
                    o->row.step, o->row.index, o->row.run, w->id.text, answer);
         }
-        cw_sched_start_answered(d->sched, w, &o->row, answer, now);
+        cw_sched_start_answered(d->sched, w, &o->row, answer, o->unanswered,
+                                now);
         free(o);
     }
     else {
@@ -180,7 +181,7 @@
         }
         else if (!o->unanswered && o->tries >= ORDER_TRIES) {
             cw_sched_start_answered(d->sched, w, &o->row, CW_START_REFUSED,
-                                    now);
+                                    false, now);
             free(o);
         }
         else {
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -121,13 +121,16 @@
     cw_ms member_until; /* our membership holds until then for certain */
     bool store_ok;
     struct cw_name owner; /* peer address of the daemon that schedules */
-    cw_ms owner_at;       /* of the last answer */
+    struct cw_name owner_logged;
+    cw_ms owner_at; /* of the last answer */
     cw_ms owner_due;
     bool owner_busy;
 
     /* Scheduling. */
     enum cw_jobd_role role;
     uint64_t epoch;
+    uint64_t attempt; /* of takeovers in this generation */
+    uint64_t attempt_generation;
     uint64_t sequence;
     cw_ms role_at;
     uint32_t life; /* of the role; answers to calls of an earlier one are void
--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -485,12 +485,12 @@
         struct cw_task *next = t->next;
 
         if (cw_task_step(t)->lasting && t->state == CW_RUN_RUNNING &&
-            cw_task_may_stop(d->sched, t, now)) {
+            cw_task_may_stop(t, now)) {
             cw_log(CW_INFO, "evacuate",
                    "job=%016llx task=%u.%u.%u worker=%s vm=%s away=%u of=%u",
                    (unsigned long long)t->job->id, t->occurrence, t->step,
                    t->index, v->worker->id.text, v->name.text,
-                   cw_step_away(d->sched, t, now), cw_task_step(t)->may_miss);
+                   cw_step_away(t, now), cw_task_step(t)->may_miss);
             cw_sched_stop_task(d->sched, t, true, now);
         }
         t = next;
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -11,6 +11,8 @@
 #define OWNER_EVERY_MS 500
 #define OWNER_SOON_MS 100
 #define STORE_TIMEOUT_MS 900
+/* Takeovers that one generation of the group has room for. */
+#define CW_EPOCHS_PER_GENERATION 1000
 /* A takeover that failed starts again after this. */
 #define TAKEOVER_RETRY_MS 200
 
@@ -127,6 +129,8 @@
         return;
     }
     if (s != CW_OK) {
+        /* Fenced: an earlier process of ours had a higher number in this
+         * generation; the next attempt gets one more. */
         takeover_failed(d, "fence", s);
         return;
     }
@@ -154,7 +158,14 @@
     d->life++;
     d->role = CW_ROLE_TAKEOVER;
     d->role_at = now;
-    d->epoch = d->generation;
+    if (d->generation != d->attempt_generation) {
+        d->attempt_generation = d->generation;
+        d->attempt = 0;
+    }
+    /* A daemon may take over more than once in a generation, also after a
+     * restart that the group did not notice. */
+    d->epoch = d->generation * CW_EPOCHS_PER_GENERATION + d->attempt;
+    d->attempt++;
     d->sequence = 0;
     cw_sched_init(d->sched, &limits, &cw_agent_ops, d);
     d->sched->wall_offset = d->clock.wall(d->clock.ctx) - now;
@@ -229,8 +240,11 @@
     if (s != CW_OK || d->role != CW_ROLE_FOLLOWER) {
         return;
     }
-    if (!same && cw_name_set(&d->owner, member) == CW_OK) {
-        cw_log(CW_INFO, "scheduler_known", "address=%s", d->owner.text);
+    if (!same && cw_name_set(&d->owner, member) == CW_OK &&
+        !cw_name_eq(&d->owner, &d->owner_logged)) {
+        cw_log(CW_INFO, "scheduler_known", "address=%s was=%s", d->owner.text,
+               d->owner_logged.text);
+        d->owner_logged = d->owner;
     }
     d->owner_at = now;
     d->owner_due = now + (same ? OWNER_EVERY_MS : OWNER_SOON_MS);
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -346,12 +346,12 @@
 /* All earlier steps are done and the occurrence is due. */
 bool cw_task_ready(const struct cw_sched *s, const struct cw_task *t,
                    cw_ms now);
+/* A lasting task that serves: past its start-up, on a worker that reports. */
+bool cw_task_at_work(const struct cw_task *t, cw_ms now);
 /* Tasks of a lasting step that are away; includes t itself if it is. */
-uint32_t cw_step_away(const struct cw_sched *s, const struct cw_task *t,
-                      cw_ms now);
+uint32_t cw_step_away(const struct cw_task *t, cw_ms now);
 /* No rule on absences forbids to end this task now. */
-bool cw_task_may_stop(const struct cw_sched *s, const struct cw_task *t,
-                      cw_ms now);
+bool cw_task_may_stop(const struct cw_task *t, cw_ms now);
 
 /* ---- jobs_record.c -------------------------------------------------------
  */
@@ -394,9 +394,12 @@
                             void (*drop)(void *ctx, struct cw_worker *w));
 void cw_sched_report(struct cw_sched *s, struct cw_worker *w,
                      const struct cw_run_report *r, cw_ms now);
+/* The answer to a start. sent_before: an earlier send of the same start got no
+ * answer, and may have been or still be carried out. */
 void cw_sched_start_answered(struct cw_sched *s, struct cw_worker *w,
                              const struct cw_run_row *r,
-                             enum cw_start_answer a, cw_ms now);
+                             enum cw_start_answer a, bool sent_before,
+                             cw_ms now);
 /* The worker took note of a stop: a run that it does not list is over. */
 void cw_sched_stop_answered(struct cw_sched *s, struct cw_worker *w,
                             const struct cw_run_row *r, cw_ms now);
--- a/packages/jobs/jobs_query.c
+++ b/packages/jobs/jobs_query.c
@@ -84,19 +84,28 @@
     return true;
 }
 
+/* A worker reports at least once in REPORT_WAIT_MS of the daemon and a little;
+ * after this long without a report its tasks may have ended. */
+#define SILENT_MS 1700
+
+bool
+cw_task_at_work(const struct cw_task *t, cw_ms now)
+{
+    return t->state == CW_RUN_RUNNING && t->at_work &&
+           now - t->worker->seen_at < SILENT_MS;
+}
+
 uint32_t
-cw_step_away(const struct cw_sched *s, const struct cw_task *t, cw_ms now)
+cw_step_away(const struct cw_task *t, cw_ms now)
 {
     const struct cw_job_run *j = t->job;
     uint32_t n = 0;
 
-    (void)s;
-    (void)now;
     for (size_t i = 0; i < j->task_count; i++) {
         const struct cw_task *o = &j->tasks[i];
 
         if (o->occurrence == t->occurrence && o->step == t->step &&
-            !(o->state == CW_RUN_RUNNING && o->at_work)) {
+            !cw_task_at_work(o, now)) {
             n++;
         }
     }
@@ -104,7 +113,7 @@
 }
 
 bool
-cw_task_may_stop(const struct cw_sched *s, const struct cw_task *t, cw_ms now)
+cw_task_may_stop(const struct cw_task *t, cw_ms now)
 {
     const struct cw_step *st = cw_task_step(t);
 
@@ -115,5 +124,5 @@
      * fewer than may_miss others are away, and one at a time without a
      * limit. */
     return (t->state == CW_RUN_RUNNING && !t->at_work) ||
-           cw_step_away(s, t, now) < (st->may_miss > 0 ? st->may_miss : 1);
+           cw_step_away(t, now) < (st->may_miss > 0 ? st->may_miss : 1);
 }
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -578,7 +578,7 @@
 void
 cw_sched_start_answered(struct cw_sched *s, struct cw_worker *w,
                         const struct cw_run_row *r, enum cw_start_answer a,
-                        cw_ms now)
+                        bool sent_before, cw_ms now)
 {
     struct cw_task *t = cw_sched_task(s, r);
 
@@ -597,9 +597,19 @@
         }
         return;
     }
-    if (t->state == CW_RUN_ORDERED || t->state == CW_RUN_STOPPING) {
+    if (t->state != CW_RUN_ORDERED && t->state != CW_RUN_STOPPING) {
+        return;
+    }
+    if (!sent_before) {
         start_refused(s, w, t, now);
     }
+    else if (a != CW_START_OLD) {
+        /* The earlier send may still be carried out: the stop makes the
+         * worker reject it. */
+        cw_sched_stop_task(s, t, true, now);
+    }
+    /* Otherwise the earlier send was carried out and the run has ended: the
+     * report lists its end. */
 }
 
 void
