--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -239,7 +239,8 @@
     struct cw_start_order so = {
         .run = o->row,
         .text = {t->job->spec.text, t->job->spec.text_len},
-        .until_ms = cw_worker_lease(d->sched, a->worker, now),
+        .until_ms = cw_worker_lease(d->sched, a->worker,
+                                    a->failures == 0 && !o->unanswered, now),
         .epoch = d->epoch,
     };
 
@@ -435,7 +436,9 @@
     struct cw_jobd *d = a->d;
     struct cw_worker *w = a->worker;
     cw_ms wait = w->contacted && w->tasks != NULL ? REPORT_WAIT_MS : 0;
-    int64_t until = w->tasks == NULL ? 0 : cw_worker_lease(d->sched, w, now);
+    int64_t until = w->tasks == NULL
+                        ? 0
+                        : cw_worker_lease(d->sched, w, a->failures == 0, now);
 
     a->reporting = true;
     a->report_sent = now;
--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -30,6 +30,8 @@
 /* Forecasts look at this much time from there on. */
 #define FORECAST_MS 1500
 #define PERIOD_EVERY_MS 1000
+/* A task that waited this long although there should be room is stuck. */
+#define STUCK_MS 400
 /* VMs that a pool never goes below. */
 #define POOL_LEAST 2
 
@@ -667,11 +669,13 @@
         }
         if (v->capacity.cpu_milli > out.vm_cpu) {
             out.vm_cpu = v->capacity.cpu_milli;
+            out.vm_mb = v->capacity.memory_mb;
         }
         if (s->spare || coming ||
             (v->worker != NULL && v->worker->state == CW_WORKER_READY &&
              !v->worker->cordoned)) {
             out.vms++;
+            out.incoming += coming ? 1 : 0;
         }
         if (vm_free(d, v, now) && !v->clearing && !in_wave(d, v)) {
             out.idle++;
@@ -685,14 +689,16 @@
         return out;
     }
     l = cw_pool_load(d->sched, p, now);
-    batch = l.running_cpu + l.waiting_cpu - l.lasting_cpu;
+    batch = l.running.cpu + l.waiting.cpu - l.lasting.cpu;
     if (rate > (double)batch) {
         batch = (uint64_t)rate;
     }
     if (ahead > (double)batch) {
         batch = (uint64_t)ahead;
     }
-    out.need_cpu = batch + l.lasting_cpu;
+    out.need_cpu = batch + l.lasting.cpu;
+    out.need_mb = l.running.mb + l.waiting.mb;
+    out.stuck = l.waits_ms > STUCK_MS;
     return out;
 }
 
--- a/packages/jobs/cw_fleet.h
+++ b/packages/jobs/cw_fleet.h
@@ -36,10 +36,14 @@
 
 /* A pool as the decision on moves sees it. */
 struct cw_pool_view {
-    bool spare;         /* its VMs are off and cost nothing */
-    uint64_t need_cpu;  /* to have soon, thousandths of a core */
-    uint64_t vm_cpu;    /* of one VM */
+    bool spare;        /* its VMs are off and cost nothing */
+    uint64_t need_cpu; /* to have soon, thousandths of a core */
+    uint64_t need_mb;
+    uint64_t vm_cpu; /* of one VM */
+    uint64_t vm_mb;
+    bool stuck;         /* a task finds no room although the sums say so */
     uint32_t vms;       /* that are up or on their way in */
+    uint32_t incoming;  /* of these, on their way */
     uint32_t least;     /* never fewer */
     uint32_t idle;      /* that could leave now */
     uint32_t idle_long; /* of these, idle for long: may be turned off */
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -29,6 +29,11 @@
     uint32_t accelerators;
 };
 
+struct cw_demand_sum {
+    uint64_t cpu;
+    uint64_t mb;
+};
+
 struct cw_step {
     uint32_t count; /* tasks */
     struct cw_demand_res need;
@@ -186,6 +191,7 @@
     uint32_t reports;  /* number of the latest */
     int64_t clock_ms;  /* the worker's clock .. */
     cw_ms clock_at;    /* .. at this time of ours; 0: unknown */
+    int64_t until_ms;  /* lease sent last, on its clock; 0: none */
     cw_ms lapse_at;    /* every run there has lapsed by then */
     uint64_t ack_next; /* ends up to here are in batch ack_batch */
     uint64_t ack_batch;
@@ -202,6 +208,7 @@
     bool spare;              /* its VMs are off */
     bool guards;             /* workers refuse what does not fit */
     uint32_t worker_count;
+    cw_ms stuck_logged;
     uint64_t arrived_cpu_ms; /* work handed in, thousandths of a core x ms */
     double mean_ms;          /* of finished tasks, learned */
 };
@@ -403,9 +410,12 @@
 /* The worker took note of a stop: a run that it does not list is over. */
 void cw_sched_stop_answered(struct cw_sched *s, struct cw_worker *w,
                             const struct cw_run_row *r, cw_ms now);
-/* The lease time to send now, on the worker's clock, and its bookkeeping;
- * 0 while the worker's clock is unknown. */
-int64_t cw_worker_lease(struct cw_sched *s, struct cw_worker *w, cw_ms now);
+/* The lease time to send, on the worker's clock: a new one when renew is true,
+ * else the one that was sent before, so that calls to a worker that does not
+ * answer do not put off the time from which its runs are over. 0 while the
+ * worker's clock is unknown. */
+int64_t cw_worker_lease(struct cw_sched *s, struct cw_worker *w, bool renew,
+                        cw_ms now);
 /* Lets leases that passed take effect. */
 void cw_sched_leases(struct cw_sched *s, cw_ms now);
 /* Ends a task by our own decision; it waits again when restart is true. */
@@ -423,15 +433,13 @@
 
 /* Places tasks that may start. */
 void cw_sched_plan(struct cw_sched *s, cw_ms now);
-/* Work in thousandths of a core that waits or runs in a pool, lasting work
- * included. */
+/* What waits and runs in a pool; cpu in thousandths of a core. */
 struct cw_pool_load {
-    uint64_t running_cpu;
-    uint64_t lasting_cpu;  /* of these, without an end */
-    uint64_t waiting_cpu;  /* tasks that may start now */
-    uint64_t capacity_cpu; /* of workers that take tasks */
-    uint32_t workers;      /* up, not draining */
-    uint32_t idle;         /* of these, without tasks */
+    struct cw_demand_sum running;
+    struct cw_demand_sum lasting; /* of these, without an end */
+    struct cw_demand_sum waiting; /* of tasks that may start now */
+    uint32_t workers;             /* up, not draining */
+    cw_ms waits_ms;               /* longest time of a task that may start */
 };
 struct cw_pool_load cw_pool_load(const struct cw_sched *s,
                                  const struct cw_pool *p, cw_ms now);
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -3,14 +3,28 @@
 
 #include <string.h>
 
+static uint32_t
+vms_for(uint64_t need, uint64_t of_vm)
+{
+    double room = CW_POOL_FILL * (double)of_vm;
+    uint32_t n = room <= 0 ? 0 : (uint32_t)((double)need / room);
+
+    return room > 0 && (double)n * room < (double)need ? n + 1 : n;
+}
+
 uint32_t
 cw_pool_wanted(const struct cw_pool_view *p)
 {
-    double room = CW_POOL_FILL * (double)p->vm_cpu;
-    uint32_t n = room <= 0 ? 0 : (uint32_t)((double)p->need_cpu / room);
+    uint32_t n = vms_for(p->need_cpu, p->vm_cpu);
+    uint32_t by_memory = vms_for(p->need_mb, p->vm_mb);
 
-    if (room > 0 && (double)n * room < (double)p->need_cpu) {
-        n++;
+    if (by_memory > n) {
+        n = by_memory;
+    }
+    /* Room that is split over VMs may be too small for one task: one more VM
+     * at a time. */
+    if (p->stuck && p->incoming == 0 && n <= p->vms) {
+        n = p->vms + 1;
     }
     return n > p->least ? n : p->least;
 }
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -379,6 +379,56 @@
     }
 }
 
+/* A task that waits longer than this is named in the log, with the reason for
+ * each worker that did not take it. */
+#define STUCK_MS 2000
+#define STUCK_LOG_MS 1000
+
+static void
+log_stuck(struct cw_pool *p, const struct cw_task *t, cw_ms now)
+{
+    uint32_t no_contact = 0;
+    uint32_t cordoned = 0;
+    uint32_t paused = 0;
+    uint32_t unwell = 0;
+    uint32_t reserved = 0;
+    uint32_t full = 0;
+
+    if (now - t->ready_at < STUCK_MS || now - p->stuck_logged < STUCK_LOG_MS) {
+        return;
+    }
+    p->stuck_logged = now;
+    for (const struct cw_worker *w = p->workers; w != NULL; w = w->next) {
+        if (w->state != CW_WORKER_READY || !w->contacted) {
+            no_contact++;
+        }
+        else if (w->cordoned) {
+            cordoned++;
+        }
+        else if (now < w->retry_at) {
+            paused++;
+        }
+        else if (!cw_worker_health_usable(&w->health, now)) {
+            unwell++;
+        }
+        else if (w->reserved) {
+            reserved++;
+        }
+        else {
+            full++;
+        }
+    }
+    cw_log(CW_INFO, "task_waits",
+           "job=%016llx task=%u.%u.%u service=%s ms=%lld cpu=%u memory_mb=%u "
+           "workers=%u no_contact=%u cordoned=%u paused=%u unwell=%u "
+           "reserved=%u full=%u",
+           (unsigned long long)t->job->id, t->occurrence, t->step, t->index,
+           p->service.text, (long long)(now - t->ready_at),
+           cw_task_step(t)->need.cpu_milli, cw_task_step(t)->need.memory_mb,
+           p->worker_count, no_contact, cordoned, paused, unwell, reserved,
+           full);
+}
+
 static void
 plan_pool(struct cw_sched *s, struct cw_pool *p, cw_ms now)
 {
@@ -410,6 +460,9 @@
                              now - left->ready_at > STARVED_MS)) {
             reserve(p, left, now);
         }
+        if (left != NULL) {
+            log_stuck(p, left, now);
+        }
     }
     free(units);
 }
@@ -424,6 +477,13 @@
     s->plan_due = false;
 }
 
+static void
+add_need(struct cw_demand_sum *sum, const struct cw_step *st)
+{
+    sum->cpu += st->backfill ? 0 : st->need.cpu_milli;
+    sum->mb += st->need.memory_mb;
+}
+
 struct cw_pool_load
 cw_pool_load(const struct cw_sched *s, const struct cw_pool *p, cw_ms now)
 {
@@ -434,26 +494,22 @@
             continue;
         }
         l.workers++;
-        l.running_cpu += w->used.cpu_milli;
-        l.idle += w->task_count == 0 ? 1 : 0;
         for (const struct cw_task *t = w->tasks; t != NULL; t = t->next) {
-            const struct cw_step *st = cw_task_step(t);
-
-            if (st->lasting && !st->backfill) {
-                l.lasting_cpu += st->need.cpu_milli;
+            add_need(&l.running, cw_task_step(t));
+            if (cw_task_step(t)->lasting) {
+                add_need(&l.lasting, cw_task_step(t));
             }
         }
-        if (takes_work(w, now)) {
-            l.capacity_cpu += w->capacity.cpu_milli;
-        }
     }
     for (const struct cw_job_run *j = p->jobs; j != NULL; j = j->next) {
         for (size_t i = 0; i < j->task_count; i++) {
             const struct cw_task *t = &j->tasks[i];
 
-            if (t->state == CW_RUN_WAITING && !cw_task_step(t)->backfill &&
-                cw_task_ready(s, t, now)) {
-                l.waiting_cpu += cw_task_step(t)->need.cpu_milli;
+            if (t->state == CW_RUN_WAITING && cw_task_ready(s, t, now)) {
+                add_need(&l.waiting, cw_task_step(t));
+                if (now - t->ready_at > l.waits_ms) {
+                    l.waits_ms = now - t->ready_at;
+                }
             }
         }
     }
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -262,6 +262,22 @@
     return true;
 }
 
+/* Tasks of the steps that wait for this one may start from now on. */
+static void
+step_done(const struct cw_task *t, cw_ms now)
+{
+    struct cw_job_run *j = t->job;
+
+    for (size_t i = 0; i < j->task_count; i++) {
+        struct cw_task *o = &j->tasks[i];
+
+        if (o->occurrence == t->occurrence &&
+            (cw_task_step(o)->after >> t->step & 1) != 0) {
+            o->ready_at = now;
+        }
+    }
+}
+
 static void
 task_done(struct cw_sched *s, struct cw_task *t, cw_ms now)
 {
@@ -274,6 +290,9 @@
     t->state = CW_RUN_DONE;
     t->since = now;
     j->open[t->occurrence * j->spec.step_count + t->step]--;
+    if (j->open[t->occurrence * j->spec.step_count + t->step] == 0) {
+        step_done(t, now);
+    }
     cw_job_touch(s, j);
 }
 
@@ -522,6 +541,7 @@
         w->ack_next = 0;
         w->acked = 0;
         w->clock_at = 0;
+        w->until_ms = 0;
         w->contacted = false;
     }
     w->born_wall = born;
@@ -628,7 +648,7 @@
  * ------------------------------------------------------------------------ */
 
 int64_t
-cw_worker_lease(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+cw_worker_lease(struct cw_sched *s, struct cw_worker *w, bool renew, cw_ms now)
 {
     cw_ms age = now - w->clock_at;
     cw_ms lapse;
@@ -636,13 +656,17 @@
     if (w->clock_at == 0) {
         return 0;
     }
+    if (!renew && w->until_ms > 0) {
+        return w->until_ms;
+    }
     lapse = now + LAPSE_MARGIN_MS +
             (cw_ms)(((double)s->limits.lease_ms + CLOCK_SLOW * (double)age) /
                     (1.0 - CLOCK_SLOW));
     if (lapse > w->lapse_at) {
         w->lapse_at = lapse;
     }
-    return w->clock_ms + age + s->limits.lease_ms;
+    w->until_ms = w->clock_ms + age + s->limits.lease_ms;
+    return w->until_ms;
 }
 
 void
