--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -176,6 +176,28 @@
     }
 }
 
+/* Hand-ins that wait behind a commit which gets no answer are refused while
+ * that is still true: nothing of them has been sent to the store. */
+static void
+withdraw_unsent(struct cw_jobd *d, cw_ms now)
+{
+    struct cw_call *c = d->committing;
+
+    if (d->role != CW_ROLE_SCHEDULER || cw_commit_healthy(d, now)) {
+        return;
+    }
+    while (c != NULL) {
+        struct cw_call *next = c->next;
+
+        if (c->kind == CW_CALL_SUBMIT && c->batch == d->sched->batch &&
+            (cw_sched_withdraw(d->sched, c->id) ||
+             cw_sched_job(d->sched, c->id) == NULL)) {
+            cw_calls_end(c, CW_CALL_NOT_RUN, "store_unavailable", RETRY_MS);
+        }
+        c = next;
+    }
+}
+
 static void
 expire(struct cw_call *list, cw_ms now, enum cw_call_result r)
 {
@@ -209,6 +231,7 @@
             cw_calls_dispatch(d, c);
         }
     }
+    withdraw_unsent(d, now);
     expire(d->committing, now, CW_CALL_UNKNOWN);
     expire(d->forwarded, now, CW_CALL_UNKNOWN);
 }
--- a/packages/jobd/commit.c
+++ b/packages/jobd/commit.c
@@ -9,7 +9,7 @@
 #define COMMIT_TIMEOUT_MS 1500
 #define COMMIT_RETRY_MS 100
 /* A commit that waits longer than this makes new hand-ins be refused. */
-#define COMMIT_SLOW_MS 1000
+#define COMMIT_SLOW_MS 700
 
 static void send_batch(struct cw_jobd *d);
 
--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -18,11 +18,13 @@
 #define PLAN_EVERY_MS 100
 /* On top of the time between two holders' orders for one VM. */
 #define TAKEOVER_MARGIN_MS 700
+/* Time in which a former holder notices: it joins the group every 400 ms. */
+#define HANDOVER_MS 1000
 /* A VM that was ordered and has not come back is no longer counted on. */
 #define INCOMING_MAX_MS 6000
 /* A VM that is idle this long is turned off unless it is needed: two moves
  * cost as much as a VM costs in a pool for somewhat over two seconds. */
-#define IDLE_OFF_MS 2500
+#define IDLE_OFF_MS 1000
 /* The rate of arriving work is taken over this time. */
 #define RATE_WINDOW_MS 750
 /* A move and the first contact take this long on top of the move itself. */
@@ -30,6 +32,7 @@
 /* Forecasts look at this much time from there on. */
 #define FORECAST_MS 1500
 #define PERIOD_EVERY_MS 1000
+#define LOG_EVERY_MS 1000
 /* A task that waited this long although there should be room is stuck. */
 #define STUCK_MS 400
 /* VMs that a pool never goes below. */
@@ -84,6 +87,7 @@
     cw_ms list_since;
     struct cw_name list_page;
     cw_ms plan_due;
+    cw_ms log_due;
     cw_ms period;
     cw_ms period_due;
 };
@@ -400,12 +404,30 @@
     return false;
 }
 
+/* No other holder can have ordered this VM within the time that two holders
+ * have to keep between their orders: either this one has held for that long,
+ * or the VM's worker has lived that long, since any order ends it. A former
+ * holder that still reaches the store knows of the change in HANDOVER_MS. */
+static bool
+vm_is_ours(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
+{
+    cw_ms held = now - d->role_at;
+    cw_ms quiet = d->settings.vm_lease_ms + TAKEOVER_MARGIN_MS;
+
+    if (held >= quiet) {
+        return true;
+    }
+    return held >= HANDOVER_MS && v->worker != NULL &&
+           v->worker->clock_at != 0 &&
+           v->worker->clock_ms + (now - v->worker->clock_at) >= quiet;
+}
+
 /* Runs nothing and can take an order. */
 static bool
 vm_free(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
 {
     if (v->order != VM_NONE || v->phase != CW_VM_UP || now < v->retry_at ||
-        v->listed == 0) {
+        v->listed == 0 || !vm_is_ours(d, v, now)) {
         return false;
     }
     if (is_spare(d, &v->pool)) {
@@ -453,7 +475,7 @@
                 v->phase == CW_VM_UPKEEP) &&
                (v->order != VM_NONE || v->phase != CW_VM_UP);
     out.busy = v->order != VM_NONE || v->phase != CW_VM_UP ||
-               now < v->retry_at ||
+               now < v->retry_at || !vm_is_ours(d, v, now) ||
                (v->worker == NULL && !is_spare(d, &v->pool)) ||
                (v->worker != NULL && v->worker->state != CW_WORKER_READY);
     out.clearing = v->clearing;
@@ -722,6 +744,32 @@
 
 #define SERVICES_MAX 64
 
+/* One line a second on what the moves are decided from. */
+static void
+log_pools(struct cw_jobd *d, const struct cw_pool_view *views, size_t n,
+          cw_ms now)
+{
+    struct cw_buf b;
+
+    if (now < d->fleet->log_due) {
+        return;
+    }
+    d->fleet->log_due = now + LOG_EVERY_MS;
+    cw_buf_init(&b);
+    for (size_t i = 0; i < n; i++) {
+        const struct cw_pool_view *v = &views[i];
+
+        cw_buf_addf(
+            &b, "%s%s:vms=%u,incoming=%u,idle=%u,wanted=%u,need=%llu%s",
+            i == 0 ? "" : " ", d->config.services[i].service.text, v->vms,
+            v->incoming, v->idle, cw_pool_wanted(v),
+            (unsigned long long)v->need_cpu / 1000, v->stuck ? ",stuck" : "");
+    }
+    cw_log(CW_INFO, "pools", "period=%lld %.*s", (long long)d->fleet->period,
+           (int)b.len, b.ptr);
+    cw_buf_finish(&b);
+}
+
 static void
 run_moves(struct cw_jobd *d, cw_ms now)
 {
@@ -736,6 +784,7 @@
     for (size_t i = 0; i < n; i++) {
         views[i] = pool_view(d, &d->config.services[i], now);
     }
+    log_pools(d, views, n, now);
     count = cw_fleet_transfers(views, n, moves);
     for (size_t i = 0; i < count; i++) {
         const struct cw_name *from =
@@ -770,9 +819,8 @@
     list_tick(d, now);
     count_demand(d, now);
     sync_waves(d, now);
-    /* Another holder may have ordered just before this one took over. */
     if (!f->listed_once || !cw_member_certain(d, now) || d->stopping ||
-        now - d->role_at < d->settings.vm_lease_ms + TAKEOVER_MARGIN_MS) {
+        now - d->role_at < HANDOVER_MS) {
         return;
     }
     match_workers(d);
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -331,6 +331,9 @@
  * id is known already: the first hand-in holds. */
 enum cw_status cw_sched_accept(struct cw_sched *s, struct cw_job_spec *spec,
                                cw_ms now, struct cw_job_run **out);
+/* Takes a hand-in back that no batch has carried yet; false when it is too
+ * late for that. */
+bool cw_sched_withdraw(struct cw_sched *s, uint64_t id);
 /* CW_ERR_NOT_FOUND when there is no such job; ended jobs stay as they are. */
 enum cw_status cw_sched_cancel(struct cw_sched *s, uint64_t id, cw_ms now);
 /* Ends of tasks, sent starts and acknowledgements up to this batch hold. */
--- a/packages/jobs/fleet_demand.c
+++ b/packages/jobs/fleet_demand.c
@@ -5,9 +5,9 @@
 
 /* Periods that are looked for. */
 #define PERIOD_MIN_MS 6000
-#define PERIOD_MAX_MS 60000
+#define PERIOD_MAX_MS 30000
 /* Share of a period that has to be seen twice before it is believed. */
-#define PERIOD_SEEN 0.2
+#define PERIOD_SEEN 0.5
 /* Least correlation of the two stretches. */
 #define PERIOD_CORRELATION 0.6
 
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -396,6 +396,29 @@
     cw_job_settle(s, j);
 }
 
+bool
+cw_sched_withdraw(struct cw_sched *s, uint64_t id)
+{
+    struct cw_job_run *j = cw_sched_job(s, id);
+    struct cw_job_run **at;
+
+    if (j == NULL || !j->spec_dirty || j->started) {
+        return false;
+    }
+    for (at = &s->dirty; *at != NULL && *at != j; at = &(*at)->dirty) {
+    }
+    if (*at != NULL) {
+        *at = j->dirty;
+    }
+    for (at = bucket_of(s, id); *at != j; at = &(*at)->bucket) {
+    }
+    *at = j->bucket;
+    pool_remove_job(j);
+    s->job_count--;
+    job_free(j);
+    return true;
+}
+
 enum cw_status
 cw_sched_cancel(struct cw_sched *s, uint64_t id, cw_ms now)
 {
