--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -358,7 +358,7 @@
                    cw_ms now);
 /* A lasting task that serves: past its start-up, on a worker that reports. */
 bool cw_task_at_work(const struct cw_task *t, cw_ms now);
-/* Tasks of a lasting step that are away; includes t itself if it is. */
+/* Other tasks of t's lasting step that are away. */
 uint32_t cw_step_away(const struct cw_task *t, cw_ms now);
 /* No rule on absences forbids to end this task now. */
 bool cw_task_may_stop(const struct cw_task *t, cw_ms now);
--- a/packages/jobs/jobs_query.c
+++ b/packages/jobs/jobs_query.c
@@ -104,7 +104,7 @@
     for (size_t i = 0; i < j->task_count; i++) {
         const struct cw_task *o = &j->tasks[i];
 
-        if (o->occurrence == t->occurrence && o->step == t->step &&
+        if (o != t && o->occurrence == t->occurrence && o->step == t->step &&
             !cw_task_at_work(o, now)) {
             n++;
         }
@@ -117,12 +117,8 @@
 {
     const struct cw_step *st = cw_task_step(t);
 
-    if (!st->lasting) {
-        return true;
-    }
-    /* A task that is not at work may be stopped freely; one at work only while
-     * fewer than may_miss others are away, and one at a time without a
-     * limit. */
-    return (t->state == CW_RUN_RUNNING && !t->at_work) ||
+    /* Without a limit one at a time. What is known of the task itself does not
+     * count: it may have come to work since the last report. */
+    return !st->lasting ||
            cw_step_away(t, now) < (st->may_miss > 0 ? st->may_miss : 1);
 }
