--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -355,7 +355,8 @@
                 continue;
             }
             v = cw_map_get(&d->fleet->vms, cw_name_str(&w->vm));
-            if (v != NULL) {
+            if (v != NULL &&
+                (v->worker == NULL || v->worker->born_wall < w->born_wall)) {
                 v->worker = w;
             }
         }
@@ -422,6 +423,13 @@
            v->worker->clock_ms + (now - v->worker->clock_at) >= quiet;
 }
 
+/* The list of VMs and the list of workers speak of the same life. */
+static bool
+same_life(const struct fleet_vm *v)
+{
+    return v->worker_id.len == 0 || cw_name_eq(&v->worker->id, &v->worker_id);
+}
+
 /* Runs nothing and can take an order. */
 static bool
 vm_free(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
@@ -433,7 +441,7 @@
     if (is_spare(d, &v->pool)) {
         return true;
     }
-    return v->worker != NULL && v->worker->tasks == NULL &&
+    return v->worker != NULL && v->worker->tasks == NULL && same_life(v) &&
            v->worker->state == CW_WORKER_READY && v->worker->contacted;
 }
 
@@ -477,6 +485,7 @@
     out.busy = v->order != VM_NONE || v->phase != CW_VM_UP ||
                now < v->retry_at || !vm_is_ours(d, v, now) ||
                (v->worker == NULL && !is_spare(d, &v->pool)) ||
+               (v->worker != NULL && !same_life(v)) ||
                (v->worker != NULL && v->worker->state != CW_WORKER_READY);
     out.clearing = v->clearing;
     if (v->worker != NULL) {
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -730,6 +730,41 @@
     }
 }
 
+/* A worker is one life of a VM: a later life ends what an earlier one ran,
+ * although its entry may stay listed for some seconds. */
+static void
+end_earlier_lives(struct cw_sched *s, const struct cw_worker *w, cw_ms now)
+{
+    if (w->vm.len == 0 || w->born_wall == 0) {
+        return;
+    }
+    for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
+        for (struct cw_worker *o = p->workers; o != NULL; o = o->next) {
+            if (o != w && o->state != CW_WORKER_GONE &&
+                o->born_wall < w->born_wall && cw_name_eq(&o->vm, &w->vm)) {
+                cw_sched_worker_gone(s, cw_name_str(&o->id), now);
+                cw_sched_worker_lost(s, o, now);
+            }
+        }
+    }
+}
+
+static bool
+has_later_life(const struct cw_sched *s, const struct cw_worker_entry *e)
+{
+    if (e->vm.len == 0 || e->born_wall == 0) {
+        return false;
+    }
+    for (const struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
+        for (const struct cw_worker *o = p->workers; o != NULL; o = o->next) {
+            if (o->born_wall > e->born_wall && cw_name_eq(&o->vm, &e->vm)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 struct cw_worker *
 cw_sched_worker_seen(struct cw_sched *s, const struct cw_worker_entry *e,
                      cw_ms now)
@@ -741,6 +776,10 @@
     if (p == NULL) {
         return NULL;
     }
+    w = cw_sched_worker(s, cw_name_str(&e->id));
+    if ((w == NULL || w->state == CW_WORKER_GONE) && has_later_life(s, e)) {
+        return w;
+    }
     w = cw_sched_worker_stub(s, cw_name_str(&e->id), p, now);
     if (w == NULL || (e->born_wall != 0 && e->born_wall < w->born_wall)) {
         return w;
@@ -759,6 +798,7 @@
                e->draining ? "draining" : "ready");
         w->state = state;
         s->plan_due = true;
+        end_earlier_lives(s, w, now);
         if (e->draining) {
             leave_draining(s, w, now);
         }
