--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -18,8 +18,8 @@
 #define PLAN_EVERY_MS 100
 /* On top of the time between two holders' orders for one VM. */
 #define TAKEOVER_MARGIN_MS 700
-/* Time in which a former holder notices: it joins the group every 400 ms. */
-#define HANDOVER_MS 1000
+/* Time in which a former holder notices: it joins the group every 250 ms. */
+#define HANDOVER_MS 700
 /* A VM that was ordered and has not come back is no longer counted on. */
 #define INCOMING_MAX_MS 6000
 /* A VM that is idle this long is turned off unless it is needed: two moves
@@ -56,6 +56,7 @@
     struct cw_name old_worker;
     cw_ms retry_at;
     cw_ms listed;
+    cw_ms up_at; /* listed as up without a break since; 0: not */
     bool clearing;
 };
 
@@ -159,6 +160,12 @@
     if (v->ordered_at != 0 && sent < v->ordered_at) {
         return;
     }
+    if (r->phase != CW_VM_UP) {
+        v->up_at = 0;
+    }
+    else if (v->up_at == 0) {
+        v->up_at = sent;
+    }
     v->phase = r->phase;
     v->pool = r->pool;
     v->worker_id = r->worker;
@@ -406,9 +413,10 @@
 }
 
 /* No other holder can have ordered this VM within the time that two holders
- * have to keep between their orders: either this one has held for that long,
- * or the VM's worker has lived that long, since any order ends it. A former
- * holder that still reaches the store knows of the change in HANDOVER_MS. */
+ * have to keep between their orders. An order makes a VM move or be maintained
+ * and ends its worker, so that it was at least as long ago as the VM has been
+ * up, and a move before that. A former holder that still reaches the store
+ * knows of the change in HANDOVER_MS. */
 static bool
 vm_is_ours(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
 {
@@ -418,9 +426,14 @@
     if (held >= quiet) {
         return true;
     }
-    return held >= HANDOVER_MS && v->worker != NULL &&
-           v->worker->clock_at != 0 &&
-           v->worker->clock_ms + (now - v->worker->clock_at) >= quiet;
+    if (held < HANDOVER_MS) {
+        return false;
+    }
+    if (v->worker != NULL && v->worker->clock_at != 0) {
+        return v->worker->clock_ms + (now - v->worker->clock_at) >= quiet;
+    }
+    return v->worker == NULL && v->up_at != 0 &&
+           now - v->up_at + d->settings.move_ms >= quiet;
 }
 
 /* The list of VMs and the list of workers speak of the same life. */
--- a/packages/jobd/jobd_settings.c
+++ b/packages/jobd/jobd_settings.c
@@ -35,7 +35,7 @@
 {
     memset(s, 0, sizeof(*s));
     s->log_level = CW_INFO;
-    s->member_ttl_ms = 1500;
+    s->member_ttl_ms = MEMBER_TTL_MIN_MS;
     s->grace_ms = 6 * CW_SECOND;
     s->max_lease_ms = 4500;
     s->status_ms = 2 * CW_MINUTE;
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Time between joins: three fit into the shortest membership. */
-#define JOIN_EVERY_MS 400
+/* Time between joins: several fit into the shortest membership. */
+#define JOIN_EVERY_MS 250
 /* Time between questions who schedules, while it is known and while not. */
 #define OWNER_EVERY_MS 500
 #define OWNER_SOON_MS 100
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -87,6 +87,7 @@
     pools[from].vms--;
     pools[from].idle--;
     pools[to].vms++;
+    pools[to].incoming++;
     for (size_t i = 0; i < *count; i++) {
         if (out[i].from == from && out[i].to == to) {
             out[i].count++;
