--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -56,7 +56,8 @@
     struct cw_name old_worker;
     cw_ms retry_at;
     cw_ms listed;
-    cw_ms up_at; /* listed as up without a break since; 0: not */
+    struct cw_name reclaim_to; /* is cleared for this pool; "": not */
+    cw_ms up_at;               /* listed as up without a break since; 0: not */
     bool clearing;
 };
 
@@ -690,6 +691,25 @@
     }
 }
 
+/* A VM whose tasks end by themselves, so that it can be taken for another pool
+ * soon. */
+static bool
+can_clear(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
+{
+    if (v->order != VM_NONE || v->phase != CW_VM_UP || v->clearing ||
+        v->reclaim_to.len > 0 || v->worker == NULL || v->worker->cordoned ||
+        v->worker->state != CW_WORKER_READY || !same_life(v) ||
+        !vm_is_ours(d, v, now) || in_wave(d, v)) {
+        return false;
+    }
+    for (const struct cw_task *t = v->worker->tasks; t != NULL; t = t->next) {
+        if (cw_task_step(t)->lasting) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static struct cw_pool_view
 pool_view(struct cw_jobd *d, const struct cw_service_entry *s, cw_ms now)
 {
@@ -721,7 +741,9 @@
             out.vms++;
             out.incoming += coming ? 1 : 0;
         }
-        if (vm_free(d, v, now) && !v->clearing && !in_wave(d, v)) {
+        out.clearable += !s->spare && can_clear(d, v, now) ? 1 : 0;
+        if (vm_free(d, v, now) && !v->clearing && v->reclaim_to.len == 0 &&
+            !in_wave(d, v)) {
             out.idle++;
             out.idle_long +=
                 v->worker != NULL && now - v->worker->idle_at > IDLE_OFF_MS
@@ -742,7 +764,13 @@
     }
     out.need_cpu = batch + l.lasting.cpu;
     out.need_mb = l.running.mb + l.waiting.mb;
+    out.urgent_cpu = l.urgent.cpu;
+    if (rate + (double)l.lasting.cpu > (double)out.urgent_cpu) {
+        out.urgent_cpu = (uint64_t)rate + l.lasting.cpu;
+    }
+    out.urgent_mb = l.urgent.mb;
     out.stuck = l.waits_ms > STUCK_MS;
+    out.lasting_waits = l.lasting_waits && out.stuck;
     return out;
 }
 
@@ -753,7 +781,7 @@
 
     for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
         if (!cw_name_eq(&v->pool, pool) || !vm_free(d, v, now) ||
-            v->clearing || in_wave(d, v)) {
+            v->clearing || v->reclaim_to.len > 0 || in_wave(d, v)) {
             continue;
         }
         if (best == NULL || (v->worker != NULL && best->worker != NULL &&
@@ -764,6 +792,74 @@
     return best;
 }
 
+/* The VM of a pool that will be clear of tasks first. */
+static struct fleet_vm *
+vm_to_clear(struct cw_jobd *d, const struct cw_name *pool, cw_ms now)
+{
+    struct fleet_vm *best = NULL;
+
+    for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        if (cw_name_eq(&v->pool, pool) && can_clear(d, v, now) &&
+            (best == NULL ||
+             v->worker->task_count < best->worker->task_count)) {
+            best = v;
+        }
+    }
+    return best;
+}
+
+/* Moves VMs that were cleared for another pool. */
+static void
+finish_reclaims(struct cw_jobd *d, cw_ms now)
+{
+    for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        struct cw_name to = v->reclaim_to;
+        bool left = v->worker == NULL || v->phase != CW_VM_UP;
+
+        if (to.len == 0 || (!left && !vm_free(d, v, now))) {
+            continue;
+        }
+        v->reclaim_to.len = 0;
+        v->reclaim_to.text[0] = '\0';
+        if (!left) {
+            begin_order(d, v, VM_MOVE, &to, 0);
+        }
+    }
+}
+
+static void
+run_reclaims(struct cw_jobd *d, const struct cw_pool_view *views, size_t n,
+             cw_ms now)
+{
+    struct cw_vm_transfer *moves = calloc(n * n + 1, sizeof(*moves));
+    size_t count;
+
+    CW_INVARIANT(moves != NULL);
+    count = cw_fleet_reclaims(views, n, moves);
+    for (size_t i = 0; i < count; i++) {
+        const struct cw_name *from =
+            &d->config.services[moves[i].from].service;
+        const struct cw_name *to = &d->config.services[moves[i].to].service;
+
+        for (uint32_t k = 0; k < moves[i].count; k++) {
+            struct fleet_vm *v = vm_to_clear(d, from, now);
+
+            if (v == NULL) {
+                break;
+            }
+            cw_log(CW_INFO, "vm_reclaim",
+                   "vm=%s from=%s to=%s tasks=%u urgent=%llu vms=%u",
+                   v->name.text, from->text, to->text, v->worker->task_count,
+                   (unsigned long long)views[moves[i].to].urgent_cpu,
+                   views[moves[i].to].vms);
+            v->reclaim_to = *to;
+            v->worker->cordoned = true;
+        }
+    }
+    free(moves);
+    finish_reclaims(d, now);
+}
+
 #define SERVICES_MAX 64
 
 /* One line a second on what the moves are decided from. */
@@ -827,6 +923,7 @@
             begin_order(d, v, VM_MOVE, to, 0);
         }
     }
+    run_reclaims(d, views, n, now);
 }
 
 void
--- a/packages/jobs/cw_fleet.h
+++ b/packages/jobs/cw_fleet.h
@@ -39,9 +39,14 @@
     bool spare;        /* its VMs are off and cost nothing */
     uint64_t need_cpu; /* to have soon, thousandths of a core */
     uint64_t need_mb;
-    uint64_t vm_cpu; /* of one VM */
+    uint64_t urgent_cpu; /* of these, lasting or still in time */
+    uint64_t urgent_mb;
+    uint32_t clearing;  /* VMs that other pools clear for this one */
+    uint32_t clearable; /* VMs without lasting tasks that could be cleared */
+    uint64_t vm_cpu;    /* of one VM */
     uint64_t vm_mb;
     bool stuck;         /* a task finds no room although the sums say so */
+    bool lasting_waits; /* the stuck task is one that lasts */
     uint32_t vms;       /* that are up or on their way in */
     uint32_t incoming;  /* of these, on their way */
     uint32_t least;     /* never fewer */
@@ -59,6 +64,12 @@
 #define CW_POOL_FILL 0.85
 
 uint32_t cw_pool_wanted(const struct cw_pool_view *p);
+/* VMs that its urgent work needs. */
+uint32_t cw_pool_urgent(const struct cw_pool_view *p);
+/* Decides which pools clear VMs for others: work that is late yields to work
+ * that lasts or can still be in time. out has room for n * n. */
+size_t cw_fleet_reclaims(const struct cw_pool_view *pools, size_t n,
+                         struct cw_vm_transfer *out);
 /* Decides moves; out has room for n * n. Returns how many were decided. */
 size_t cw_fleet_transfers(const struct cw_pool_view *pools, size_t n,
                           struct cw_vm_transfer *out);
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -441,6 +441,8 @@
     struct cw_demand_sum running;
     struct cw_demand_sum lasting; /* of these, without an end */
     struct cw_demand_sum waiting; /* of tasks that may start now */
+    struct cw_demand_sum urgent;  /* of all, lasting or still in time */
+    bool lasting_waits;           /* a lasting task waits */
     uint32_t workers;             /* up, not draining */
     cw_ms waits_ms;               /* longest time of a task that may start */
 };
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -29,6 +29,18 @@
     return n > p->least ? n : p->least;
 }
 
+uint32_t
+cw_pool_urgent(const struct cw_pool_view *p)
+{
+    uint32_t n = vms_for(p->urgent_cpu, p->vm_cpu);
+    uint32_t by_memory = vms_for(p->urgent_mb, p->vm_mb);
+
+    if (by_memory > n) {
+        n = by_memory;
+    }
+    return n > p->least ? n : p->least;
+}
+
 /* The pool that lacks most VMs, or n. */
 static size_t
 neediest(const struct cw_pool_view *pools, size_t n)
@@ -134,6 +146,64 @@
     return count;
 }
 
+size_t
+cw_fleet_reclaims(const struct cw_pool_view *in, size_t n,
+                  struct cw_vm_transfer *out)
+{
+    struct cw_pool_view pools[POOLS_MAX];
+    size_t count = 0;
+
+    if (n > POOLS_MAX) {
+        return 0;
+    }
+    memcpy(pools, in, n * sizeof(*in));
+    for (;;) {
+        size_t to = n;
+        size_t from = n;
+        uint32_t lack = 0;
+        uint32_t over = 0;
+
+        for (size_t i = 0; i < n; i++) {
+            uint32_t want = cw_pool_urgent(&pools[i]);
+            uint32_t have = pools[i].vms + pools[i].clearing;
+
+            if (pools[i].spare) {
+                continue;
+            }
+            if (pools[i].lasting_waits && pools[i].incoming == 0 &&
+                pools[i].clearing == 0 && want <= have) {
+                want = have + 1;
+            }
+            if (want > have && want - have > lack) {
+                lack = want - have;
+                to = i;
+            }
+            if (pools[i].vms > cw_pool_urgent(&pools[i]) &&
+                pools[i].clearable > 0 &&
+                pools[i].vms - cw_pool_urgent(&pools[i]) > over) {
+                over = pools[i].vms - cw_pool_urgent(&pools[i]);
+                from = i;
+            }
+        }
+        if (to == n || from == n || from == to) {
+            return count;
+        }
+        pools[from].vms--;
+        pools[from].clearable--;
+        pools[to].clearing++;
+        if (count > 0 && out[count - 1].from == from &&
+            out[count - 1].to == to) {
+            out[count - 1].count++;
+        }
+        else if (count < n * n) {
+            out[count++] = (struct cw_vm_transfer){from, to, 1};
+        }
+        else {
+            return count;
+        }
+    }
+}
+
 /* ---- waves -----------------------------------------------------------------
  */
 
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -477,6 +477,14 @@
     s->plan_due = false;
 }
 
+/* The job lasts, or can still be finished within its objective. */
+static bool
+job_urgent(const struct cw_job_run *j, cw_ms now)
+{
+    return j->lasting || j->spec.first_wall != 0 ||
+           now + remaining_ms(j, 0) <= j->deadline;
+}
+
 static void
 add_need(struct cw_demand_sum *sum, const struct cw_step *st)
 {
@@ -499,14 +507,23 @@
             if (cw_task_step(t)->lasting) {
                 add_need(&l.lasting, cw_task_step(t));
             }
+            if (!cw_job_ended(t->job) && job_urgent(t->job, now)) {
+                add_need(&l.urgent, cw_task_step(t));
+            }
         }
     }
     for (const struct cw_job_run *j = p->jobs; j != NULL; j = j->next) {
+        bool urgent = job_urgent(j, now);
+
         for (size_t i = 0; i < j->task_count; i++) {
             const struct cw_task *t = &j->tasks[i];
 
             if (t->state == CW_RUN_WAITING && cw_task_ready(s, t, now)) {
                 add_need(&l.waiting, cw_task_step(t));
+                if (urgent) {
+                    add_need(&l.urgent, cw_task_step(t));
+                }
+                l.lasting_waits |= cw_task_step(t)->lasting;
                 if (now - t->ready_at > l.waits_ms) {
                     l.waits_ms = now - t->ready_at;
                 }
