--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -273,5 +273,7 @@
 void cw_fleet_open(struct cw_jobd *d);
 void cw_fleet_close(struct cw_jobd *d);
 void cw_fleet_tick(struct cw_jobd *d, cw_ms now);
+/* VMs are about to come up as new workers. */
+bool cw_fleet_expects_workers(const struct cw_jobd *d, cw_ms now);
 
 #endif
--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -25,8 +25,10 @@
 /* A VM that is idle this long is turned off unless it is needed: two moves
  * cost as much as a VM costs in a pool for somewhat over two seconds. */
 #define IDLE_OFF_MS 1000
+/* Delay of a move beyond its stated time. */
+#define SETTLE_MS 100
 /* The rate of arriving work is taken over this time. */
-#define RATE_WINDOW_MS 750
+#define RATE_WINDOW_MS 500
 /* A move and the first contact take this long on top of the move itself. */
 #define MOVE_MARGIN_MS 700
 /* Forecasts look at this much time from there on. */
@@ -348,6 +350,25 @@
 /* ---- what the decisions look at
  * ------------------------------------------------ */
 
+static const struct cw_service_entry *
+service_of(const struct cw_jobd *d, const struct cw_name *pool)
+{
+    for (size_t i = 0; i < d->config.service_count; i++) {
+        if (cw_name_eq(&d->config.services[i].service, pool)) {
+            return &d->config.services[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_spare(const struct cw_jobd *d, const struct cw_name *pool)
+{
+    const struct cw_service_entry *s = service_of(d, pool);
+
+    return s != NULL && s->spare;
+}
+
 /* Finds the workers of the VMs. */
 static void
 match_workers(struct cw_jobd *d)
@@ -380,23 +401,18 @@
     }
 }
 
-static const struct cw_service_entry *
-service_of(const struct cw_jobd *d, const struct cw_name *pool)
+/* VMs that were turned off have no worker to tell that their move is over. */
+static void
+settle_spares(struct cw_jobd *d, cw_ms now)
 {
-    for (size_t i = 0; i < d->config.service_count; i++) {
-        if (cw_name_eq(&d->config.services[i].service, pool)) {
-            return &d->config.services[i];
+    for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        if (v->ordered_at != 0 && v->phase == CW_VM_MOVING &&
+            is_spare(d, &v->pool) &&
+            now - v->ordered_at > d->settings.move_ms + SETTLE_MS) {
+            v->ordered_at = 0;
+            v->phase = CW_VM_UP;
         }
     }
-    return NULL;
-}
-
-static bool
-is_spare(const struct cw_jobd *d, const struct cw_name *pool)
-{
-    const struct cw_service_entry *s = service_of(d, pool);
-
-    return s != NULL && s->spare;
 }
 
 static bool
@@ -943,9 +959,25 @@
         return;
     }
     match_workers(d);
+    settle_spares(d, now);
     retry_orders(d, now);
     for (size_t i = 0; i < f->wave_count; i++) {
         run_wave(d, i, now);
     }
     run_moves(d, now);
 }
+
+bool
+cw_fleet_expects_workers(const struct cw_jobd *d, cw_ms now)
+{
+    if (d->fleet == NULL) {
+        return false;
+    }
+    for (const struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        if (v->ordered_at != 0 && now - v->ordered_at > d->settings.move_ms &&
+            now - v->ordered_at < INCOMING_MAX_MS) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -12,6 +12,8 @@
 /* Time between looks at the list of workers: each of some fifty workers writes
  * about every 1.5 s, so that waiting for a change would answer at once. */
 #define WORKERS_EVERY_MS 300
+/* The same while VMs are on their way into a pool. */
+#define WORKERS_SOON_MS 100
 
 void
 cw_fleet_config_finish(struct cw_fleet_config *c)
@@ -213,7 +215,9 @@
     }
     now = cw_jobd_now(d);
     d->workers_busy = false;
-    d->workers_due = now + WORKERS_EVERY_MS;
+    d->workers_due =
+        now + (cw_fleet_expects_workers(d, now) ? WORKERS_SOON_MS
+                                                : WORKERS_EVERY_MS);
     if (s == CW_ERR_NOT_FOUND) {
         d->workers_known = false;
         d->load_after.len = 0;
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -150,12 +150,12 @@
     bool is_dirty;
     bool spec_dirty;
     bool expired;
-    bool started;         /* some task was started */
-    cw_ms accepted;       /* monotonic */
-    cw_ms deadline;       /* of the full credit, from the estimates */
-    cw_ms ended;          /* monotonic */
-    cw_ms ended_wall;     /* 0: not ended */
-    uint64_t state_batch; /* batch with the last change of state */
+    bool started;                 /* some task was started */
+    cw_ms accepted;               /* monotonic */
+    struct cw_queue_times *times; /* of its queue, or NULL */
+    cw_ms ended;                  /* monotonic */
+    cw_ms ended_wall;             /* 0: not ended */
+    uint64_t state_batch;         /* batch with the last change of state */
 };
 
 enum cw_worker_state { CW_WORKER_READY, CW_WORKER_DRAINING, CW_WORKER_GONE };
@@ -200,6 +200,16 @@
     void *agent; /* the owner's connection data */
 };
 
+/* What tasks of a queue have taken, against their callers' estimates. */
+struct cw_queue_times {
+    struct cw_name queue;
+    uint32_t samples;
+    double mean_ms;
+    double error; /* mean of |ln(estimate / actual)| */
+};
+
+#define CW_QUEUES_TIMED 16 /* queues of one pool that are learned */
+
 struct cw_pool {
     struct cw_name service; /* first, for cw_map */
     struct cw_pool *next;
@@ -210,7 +220,8 @@
     uint32_t worker_count;
     cw_ms stuck_logged;
     uint64_t arrived_cpu_ms; /* work handed in, thousandths of a core x ms */
-    double mean_ms;          /* of finished tasks, learned */
+    struct cw_queue_times times[CW_QUEUES_TIMED];
+    size_t time_count;
 };
 
 /* A row of a worker's report on what runs there. */
@@ -431,6 +442,23 @@
 void cw_sched_worker_refused(struct cw_sched *s, struct cw_worker *w,
                              cw_ms now);
 
+/* ---- jobs_times.c ------------------------------------------------------- */
+
+/* The entry of a queue; NULL when there are too many. */
+struct cw_queue_times *cw_pool_times(struct cw_pool *p,
+                                     const struct cw_name *queue);
+void cw_times_add(struct cw_queue_times *q, double estimate_ms,
+                  double actual_ms);
+/* What a task of the step will take: the estimate, or the queue's mean where
+ * estimates have proved to be far off. */
+cw_ms cw_step_expected_ms(const struct cw_job_run *j,
+                          const struct cw_step *st);
+/* Longest chain of work of an occurrence: all of it, or what is left. */
+cw_ms cw_job_chain_ms(const struct cw_job_run *j, uint32_t occurrence,
+                      bool left);
+/* Time from hand-in or due time in which the job earns its full credit. */
+cw_ms cw_job_objective_ms(const struct cw_job_run *j);
+
 /* ---- jobs_plan.c ---------------------------------------------------------
  */
 
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -192,32 +192,6 @@
     j->pool = NULL;
 }
 
-/* The longest chain of estimates through the steps. */
-static cw_ms
-chain_ms(const struct cw_job_spec *s)
-{
-    cw_ms end[CW_JOB_STEPS_MAX] = {0};
-    cw_ms longest = 0;
-
-    /* Steps may be listed in any order; one pass a step settles them all. */
-    for (size_t pass = 0; pass < s->step_count; pass++) {
-        for (size_t i = 0; i < s->step_count; i++) {
-            cw_ms from = 0;
-
-            for (size_t k = 0; k < s->step_count; k++) {
-                if ((s->steps[i].after >> k & 1) != 0 && end[k] > from) {
-                    from = end[k];
-                }
-            }
-            end[i] = from + s->steps[i].estimate_ms;
-            if (end[i] > longest) {
-                longest = end[i];
-            }
-        }
-    }
-    return longest;
-}
-
 /* Allocates the tasks of a job that has its spec. */
 static enum cw_status
 make_tasks(struct cw_job_run *j)
@@ -286,14 +260,13 @@
     if (j->accepted > now || j->accepted < now - CW_DAY) {
         j->accepted = now;
     }
-    j->deadline = j->accepted + j->spec.rules.slo_ms +
-                  (cw_ms)(j->spec.rules.stretch * (double)chain_ms(&j->spec));
     p = cw_sched_pool(s, cw_name_str(&j->spec.rules.service));
     if (p == NULL || make_tasks(j) != CW_OK) {
         job_free(j);
         return NULL;
     }
     pool_add_job(p, j);
+    j->times = cw_pool_times(p, &j->queue);
     p->arrived_cpu_ms += spec_work(&j->spec);
     j->bucket = *b;
     *b = j;
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -24,38 +24,12 @@
  * those that earn nothing any more. */
 enum { TIER_LASTING, TIER_IN_TIME, TIER_LATE, TIER_LAST };
 
-static cw_ms
-remaining_ms(const struct cw_job_run *j, uint32_t occurrence)
-{
-    const uint32_t *open = &j->open[occurrence * j->spec.step_count];
-    cw_ms end[CW_JOB_STEPS_MAX] = {0};
-    cw_ms longest = 0;
-
-    for (size_t i = 0; i < j->spec.step_count; i++) {
-        cw_ms from = 0;
-
-        if (open[i] == 0) {
-            continue;
-        }
-        for (size_t k = 0; k < i; k++) {
-            if ((j->spec.steps[i].after >> k & 1) != 0 && end[k] > from) {
-                from = end[k];
-            }
-        }
-        end[i] = from + j->spec.steps[i].estimate_ms;
-        if (end[i] > longest) {
-            longest = end[i];
-        }
-    }
-    return longest;
-}
-
 static void
 rank_unit(const struct cw_sched *s, struct unit *u, cw_ms now)
 {
     const struct cw_job_run *j = u->job;
     cw_ms due = j->accepted;
-    cw_ms objective = j->deadline - j->accepted;
+    cw_ms objective = cw_job_objective_ms(j);
 
     if (cw_task_step(u->first)->lasting) {
         u->tier = TIER_LASTING;
@@ -66,7 +40,8 @@
         due = j->spec.first_wall - s->wall_offset +
               (cw_ms)u->first->occurrence * j->spec.interval_ms;
     }
-    if (now + remaining_ms(j, u->first->occurrence) <= due + objective) {
+    if (now + cw_job_chain_ms(j, u->first->occurrence, true) <=
+        due + objective) {
         u->tier = TIER_IN_TIME;
         u->order = due + objective;
     }
@@ -482,7 +457,8 @@
 job_urgent(const struct cw_job_run *j, cw_ms now)
 {
     return j->lasting || j->spec.first_wall != 0 ||
-           now + remaining_ms(j, 0) <= j->deadline;
+           now + cw_job_chain_ms(j, 0, true) <=
+               j->accepted + cw_job_objective_ms(j);
 }
 
 static void
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -371,25 +371,19 @@
     }
 }
 
-/* Weight of a new sample in a pool's mean task time. */
-#define MEAN_WEIGHT 0.05
-
 static void
 end_done(struct cw_sched *s, struct cw_task *t, cw_ms now)
 {
     struct cw_job_run *j = t->job;
-    struct cw_pool *p = j->pool;
-    double ms = (double)(now - t->since);
 
     worker_outcome(t->worker, j, true, now);
     if (cw_task_step(t)->lasting) {
         task_wait_again(s, t, now);
         return;
     }
-    if (p != NULL && t->state == CW_RUN_RUNNING) {
-        p->mean_ms = p->mean_ms == 0
-                         ? ms
-                         : p->mean_ms + MEAN_WEIGHT * (ms - p->mean_ms);
+    if (t->state == CW_RUN_RUNNING && t->checkpoint[0] == '\0') {
+        cw_times_add(j->times, cw_task_step(t)->estimate_ms,
+                     (double)(now - t->since));
     }
     if (cw_task_step(t)->gang) {
         gang_done(s, t, now);
