--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -29,6 +29,7 @@
     struct cw_name store;          /* the platform's log service */
     struct cw_name vm_control;     /* "" for none */
     enum cw_level log_level;
+    double cores;        /* of this VM's processors, that the daemon may use */
     cw_ms member_ttl_ms; /* shortest membership of the group, at least 1000 */
     cw_ms grace_ms;      /* from SIGTERM to SIGKILL */
     cw_ms max_lease_ms;  /* longest lease that a worker takes */
@@ -114,6 +115,8 @@
 
     /* Membership. */
     uint64_t generation;
+    bool in_group;      /* joins, or is about to */
+    cw_ms ownerless_at; /* somebody scheduled then */
     bool join_busy;
     bool leaving;
     cw_ms join_at; /* next join */
--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -61,6 +61,7 @@
     struct cw_name reclaim_to; /* is cleared for this pool; "": not */
     cw_ms up_at;               /* listed as up without a break since; 0: not */
     bool clearing;
+    bool in_wave; /* a wave has it to maintain yet */
 };
 
 struct wave_run {
@@ -415,18 +416,22 @@
     }
 }
 
-static bool
-in_wave(const struct cw_jobd *d, const struct fleet_vm *v)
+static void
+mark_waves(struct cw_jobd *d)
 {
+    for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        v->in_wave = false;
+    }
     for (size_t i = 0; i < d->fleet->wave_count; i++) {
         for (size_t k = 0; k < d->waves[i].vm_count; k++) {
-            if (!d->fleet->waves[i].done[k] &&
-                cw_name_eq(&d->waves[i].vms[k], &v->name)) {
-                return true;
+            struct fleet_vm *v =
+                cw_map_get(&d->fleet->vms, cw_name_str(&d->waves[i].vms[k]));
+
+            if (v != NULL && !d->fleet->waves[i].done[k]) {
+                v->in_wave = true;
             }
         }
     }
-    return false;
 }
 
 /* No other holder can have ordered this VM within the time that two holders
@@ -715,7 +720,7 @@
     if (v->order != VM_NONE || v->phase != CW_VM_UP || v->clearing ||
         v->reclaim_to.len > 0 || v->worker == NULL || v->worker->cordoned ||
         v->worker->state != CW_WORKER_READY || !same_life(v) ||
-        !vm_is_ours(d, v, now) || in_wave(d, v)) {
+        !vm_is_ours(d, v, now) || v->in_wave) {
         return false;
     }
     for (const struct cw_task *t = v->worker->tasks; t != NULL; t = t->next) {
@@ -759,7 +764,7 @@
         }
         out.clearable += !s->spare && can_clear(d, v, now) ? 1 : 0;
         if (vm_free(d, v, now) && !v->clearing && v->reclaim_to.len == 0 &&
-            !in_wave(d, v)) {
+            !v->in_wave) {
             out.idle++;
             out.idle_long +=
                 v->worker != NULL && now - v->worker->idle_at > IDLE_OFF_MS
@@ -797,7 +802,7 @@
 
     for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
         if (!cw_name_eq(&v->pool, pool) || !vm_free(d, v, now) ||
-            v->clearing || v->reclaim_to.len > 0 || in_wave(d, v)) {
+            v->clearing || v->reclaim_to.len > 0 || v->in_wave) {
             continue;
         }
         if (best == NULL || (v->worker != NULL && best->worker != NULL &&
@@ -960,6 +965,7 @@
     }
     match_workers(d);
     settle_spares(d, now);
+    mark_waves(d);
     retry_orders(d, now);
     for (size_t i = 0; i < f->wave_count; i++) {
         run_wave(d, i, now);
--- a/packages/jobd/jobd_settings.c
+++ b/packages/jobd/jobd_settings.c
@@ -28,6 +28,7 @@
                                          "upkeep_ms",
                                          "vm_lease_ms",
                                          "far_factor",
+                                         "cores",
                                          NULL};
 
 static void
@@ -46,6 +47,7 @@
     s->upkeep_ms = 2 * CW_SECOND;
     s->vm_lease_ms = 3 * CW_SECOND;
     s->far_factor = 1;
+    s->cores = 1;
 }
 
 /* A key that this version does not know is named once and left out. */
@@ -82,6 +84,7 @@
     cw_jget_ms(o, "move_ms", false, 0, CW_HOUR, &s->move_ms);
     cw_jget_ms(o, "upkeep_ms", false, 0, CW_HOUR, &s->upkeep_ms);
     cw_jget_ms(o, "vm_lease_ms", false, 0, CW_HOUR, &s->vm_lease_ms);
+    cw_jget_real(o, "cores", false, 0.001, 1024, &s->cores);
     cw_jget_real(o, "far_factor", false, 1, 1000, &s->far_factor);
 }
 
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -7,6 +7,14 @@
 
 /* Time between joins: several fit into the shortest membership. */
 #define JOIN_EVERY_MS 250
+/* Daemons that stand by for the scheduler's part, the holder included. */
+#define GROUP_SIZE 3
+/* A daemon with less of a core than this joins only when no other does; the
+ * scheduler of 350 workers takes about a tenth of a core. */
+#define STRONG_CORES 0.2
+#define WEAK_WAIT_MS 2000
+/* Spread of the first joins, so that not all join at the same moment. */
+#define JOIN_SPREAD_MS 200
 /* Time between questions who schedules, while it is known and while not. */
 #define OWNER_EVERY_MS 500
 #define OWNER_SOON_MS 100
@@ -229,8 +237,27 @@
                         d->generation, d->settings.member_ttl_ms, on_join, d);
 }
 
+/* Few daemons are in the group: each that joins or leaves may move the part
+ * of the scheduler. Another one joins when there are less than GROUP_SIZE, and
+ * a weak one only when nobody has scheduled for a while. */
 static void
-on_owner(void *arg, enum cw_status s, struct cw_str member)
+consider_joining(struct cw_jobd *d, uint32_t members, cw_ms now)
+{
+    bool weak = d->settings.cores < STRONG_CORES;
+
+    if (d->owner.len > 0) {
+        d->ownerless_at = now;
+    }
+    if (d->in_group || d->leaving || members >= GROUP_SIZE ||
+        (weak && now - d->ownerless_at < WEAK_WAIT_MS)) {
+        return;
+    }
+    d->in_group = true;
+    d->join_at = now + (cw_ms)cw_rng_below(&d->rng, JOIN_SPREAD_MS);
+}
+
+static void
+on_owner(void *arg, enum cw_status s, struct cw_str member, uint32_t members)
 {
     struct cw_jobd *d = arg;
     cw_ms now = cw_jobd_now(d);
@@ -246,6 +273,7 @@
                d->owner_logged.text);
         d->owner_logged = d->owner;
     }
+    consider_joining(d, members, now);
     d->owner_at = now;
     d->owner_due = now + (same ? OWNER_EVERY_MS : OWNER_SOON_MS);
 }
@@ -263,6 +291,7 @@
 cw_member_leave(struct cw_jobd *d)
 {
     d->leaving = true;
+    d->in_group = false;
     d->ports.store.leave(d->ports.ctx, cw_name_str(&d->settings.peer_listen),
                          on_left, d);
 }
@@ -270,7 +299,7 @@
 void
 cw_member_tick(struct cw_jobd *d, cw_ms now)
 {
-    if (!d->join_busy && !d->leaving && now >= d->join_at) {
+    if (d->in_group && !d->join_busy && !d->leaving && now >= d->join_at) {
         send_join(d, now);
     }
     if (d->role == CW_ROLE_FOLLOWER && !d->owner_busy && now >= d->owner_due) {
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -75,15 +75,15 @@
     return x->job->id < y->job->id ? -1 : x->job->id > y->job->id;
 }
 
-static bool
-unit_waits(const struct unit *u)
+static struct cw_task *
+first_waiting(const struct unit *u)
 {
     for (uint32_t i = 0; i < u->count; i++) {
         if (u->first[i].state == CW_RUN_WAITING) {
-            return true;
+            return &u->first[i];
         }
     }
-    return false;
+    return NULL;
 }
 
 /* Collects the units of a job that may start; returns how many. */
@@ -99,7 +99,7 @@
 
         u.count = cw_task_step(u.first)->count;
         at += u.count;
-        if (unit_waits(&u) && cw_task_ready(s, u.first, now)) {
+        if (first_waiting(&u) != NULL && cw_task_ready(s, u.first, now)) {
             rank_unit(s, &u, now);
             out[n++] = u;
         }
@@ -303,6 +303,32 @@
     return place_gang(s, p, u, now, NULL);
 }
 
+/* The least need that found no room in this plan. */
+struct no_room {
+    bool known;
+    struct cw_demand_res need;
+};
+
+static bool
+hopeless(const struct no_room *r, const struct cw_step *st)
+{
+    return r->known && !st->backfill &&
+           st->need.cpu_milli >= r->need.cpu_milli &&
+           st->need.memory_mb >= r->need.memory_mb &&
+           st->need.accelerators >= r->need.accelerators;
+}
+
+static void
+note_no_room(struct no_room *r, const struct cw_step *st)
+{
+    if (!st->backfill && !st->gang && st->max_per_worker == 0 &&
+        st->required_label.len == 0 &&
+        (!r->known || hopeless(&(struct no_room){true, st->need},
+                               &(struct cw_step){.need = r->need}))) {
+        *r = (struct no_room){true, st->need};
+    }
+}
+
 /* Returns the first task that found no worker, or NULL. */
 static struct cw_task *
 place_unit(struct cw_sched *s, struct cw_pool *p, struct unit *u, cw_ms now)
@@ -410,6 +436,7 @@
     size_t room = 0;
     size_t n = 0;
     struct unit *units;
+    struct no_room full = {0};
 
     for (struct cw_job_run *j = p->jobs; j != NULL; j = j->next) {
         room += j->spec.step_count * j->spec.repeats;
@@ -429,7 +456,14 @@
         w->reserved = false;
     }
     for (size_t i = 0; i < n; i++) {
-        struct cw_task *left = place_unit(s, p, &units[i], now);
+        const struct cw_step *st = cw_task_step(units[i].first);
+        struct cw_task *left = hopeless(&full, st)
+                                   ? first_waiting(&units[i])
+                                   : place_unit(s, p, &units[i], now);
+
+        if (left != NULL) {
+            note_no_room(&full, st);
+        }
 
         if (left != NULL && (units[i].tier == TIER_LASTING ||
                              now - left->ready_at > STARVED_MS)) {
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -47,7 +47,7 @@
 typedef void (*cw_store_join_done)(void *arg, enum cw_status s,
                                    uint64_t generation, bool holds);
 typedef void (*cw_store_owner_done)(void *arg, enum cw_status s,
-                                    struct cw_str member);
+                                    struct cw_str member, uint32_t members);
 
 struct cw_store_port {
     void (*batch_add)(void *ctx, struct cw_store_batch *b, struct cw_str key,
@@ -73,7 +73,8 @@
                  cw_ms ttl_ms, cw_store_join_done done, void *arg);
     void (*leave)(void *ctx, struct cw_str member, cw_store_done done,
                   void *arg);
-    /* Who holds the scheduler's part; empty when nobody does. */
+    /* Who holds the scheduler's part, empty when nobody does, and how many
+     * members the group has. */
     void (*owner)(void *ctx, cw_ms timeout, cw_store_owner_done done,
                   void *arg);
 };
