--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -237,6 +237,24 @@
                         d->generation, d->settings.member_ttl_ms, on_join, d);
 }
 
+static void
+on_left(void *arg, enum cw_status s)
+{
+    struct cw_jobd *d = arg;
+
+    cw_log(CW_INFO, "group_left", "status=%s stopping=%d", cw_status_name(s),
+           d->stopping);
+}
+
+/* Leaves the group, and may join again later. */
+static void
+stand_down(struct cw_jobd *d)
+{
+    d->in_group = false;
+    d->ports.store.leave(d->ports.ctx, cw_name_str(&d->settings.peer_listen),
+                         on_left, d);
+}
+
 /* Few daemons are in the group: each that joins or leaves may move the part
  * of the scheduler. Another one joins when there are less than GROUP_SIZE, and
  * a weak one only when nobody has scheduled for a while. */
@@ -245,9 +263,16 @@
 {
     bool weak = d->settings.cores < STRONG_CORES;
 
-    if (d->owner.len > 0) {
+    if (d->owner.len > 0 || d->ownerless_at == 0) {
         d->ownerless_at = now;
     }
+    if (weak && d->in_group && d->role == CW_ROLE_FOLLOWER &&
+        d->owner.len > 0 && members > 1) {
+        cw_log(CW_INFO, "group_stand_down", "members=%u cores=%g", members,
+               d->settings.cores);
+        stand_down(d);
+        return;
+    }
     if (d->in_group || d->leaving || members >= GROUP_SIZE ||
         (weak && now - d->ownerless_at < WEAK_WAIT_MS)) {
         return;
@@ -278,22 +303,11 @@
     d->owner_due = now + (same ? OWNER_EVERY_MS : OWNER_SOON_MS);
 }
 
-static void
-on_left(void *arg, enum cw_status s)
-{
-    struct cw_jobd *d = arg;
-
-    cw_log(CW_INFO, "group_left", "status=%s ms=%lld", cw_status_name(s),
-           (long long)(cw_jobd_now(d) - d->stop_at));
-}
-
 void
 cw_member_leave(struct cw_jobd *d)
 {
     d->leaving = true;
-    d->in_group = false;
-    d->ports.store.leave(d->ports.ctx, cw_name_str(&d->settings.peer_listen),
-                         on_left, d);
+    stand_down(d);
 }
 
 void
