--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -37,6 +37,8 @@
 #define LOG_EVERY_MS 1000
 /* A task that waited this long although there should be room is stuck. */
 #define STUCK_MS 400
+/* A VM that could not be emptied in this time takes tasks again. */
+#define CONSOLIDATE_MAX_MS 8000
 /* VMs that a pool never goes below. */
 #define POOL_LEAST 2
 
@@ -61,6 +63,8 @@
     struct cw_name reclaim_to; /* is cleared for this pool; "": not */
     cw_ms up_at;               /* listed as up without a break since; 0: not */
     bool clearing;
+    bool consolidating; /* is emptied of its lasting tasks */
+    cw_ms consolidate_at;
     bool in_wave; /* a wave has it to maintain yet */
 };
 
@@ -421,6 +425,9 @@
 {
     for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
         v->in_wave = false;
+        if (v->worker != NULL) {
+            v->worker->upkeep_due = false;
+        }
     }
     for (size_t i = 0; i < d->fleet->wave_count; i++) {
         for (size_t k = 0; k < d->waves[i].vm_count; k++) {
@@ -429,6 +436,9 @@
 
             if (v != NULL && !d->fleet->waves[i].done[k]) {
                 v->in_wave = true;
+                if (v->worker != NULL) {
+                    v->worker->upkeep_due = true;
+                }
             }
         }
     }
@@ -537,34 +547,48 @@
     return out;
 }
 
-/* Moves lasting tasks off a VM that is being cleared, as far as the rule on
- * absences allows; other tasks run to their end. */
+/* Moves lasting tasks off a VM as far as the rule on absences allows; other
+ * tasks run to their end. With room only tasks that another worker has room
+ * for move. */
 static void
-clear_vm(struct cw_jobd *d, struct fleet_vm *v, cw_ms now)
+evacuate(struct cw_jobd *d, struct fleet_vm *v, bool room, bool busy,
+         const char *why, cw_ms now)
 {
-    struct cw_task *t;
+    struct cw_task *t = v->worker->tasks;
 
-    if (v->worker == NULL) {
-        return;
-    }
-    v->worker->cordoned = true;
-    t = v->worker->tasks;
     while (t != NULL) {
         struct cw_task *next = t->next;
 
         if (cw_task_step(t)->lasting && t->state == CW_RUN_RUNNING &&
-            cw_task_may_stop(t, now)) {
+            cw_task_may_stop(t, now) &&
+            (!room || cw_sched_room_elsewhere(t, busy, now))) {
             cw_log(CW_INFO, "evacuate",
-                   "job=%016llx task=%u.%u.%u worker=%s vm=%s away=%u of=%u",
+                   "job=%016llx task=%u.%u.%u worker=%s vm=%s away=%u of=%u "
+                   "reason=%s",
                    (unsigned long long)t->job->id, t->occurrence, t->step,
                    t->index, v->worker->id.text, v->name.text,
-                   cw_step_away(t, now), cw_task_step(t)->may_miss);
+                   cw_step_away(t, now), cw_task_step(t)->may_miss, why);
             cw_sched_stop_task(d->sched, t, true, now);
         }
         t = next;
     }
 }
 
+/* A VM that is cleared takes nothing new. Lasting tasks leave the other VMs of
+ * the wave early, while room elsewhere lasts: only few tasks of a step may be
+ * away at a time, so that this takes longest. */
+static void
+clear_wave_vm(struct cw_jobd *d, struct fleet_vm *v, cw_ms now)
+{
+    if (v->worker == NULL || v->order != VM_NONE) {
+        return;
+    }
+    if (v->clearing) {
+        v->worker->cordoned = true;
+    }
+    evacuate(d, v, !v->clearing, false, "upkeep", now);
+}
+
 struct publish_call {
     void *ticket;
     uint64_t wave;
@@ -644,9 +668,8 @@
         vms[plan.pick[plan.order + i]]->clearing = true;
     }
     for (size_t i = 0; i < w->vm_count; i++) {
-        if (vms[i] != NULL && vms[i]->clearing && !r->done[i] &&
-            vms[i]->order == VM_NONE) {
-            clear_vm(d, vms[i], now);
+        if (vms[i] != NULL && !r->done[i]) {
+            clear_wave_vm(d, vms[i], now);
         }
     }
     if (cw_upkeep_done(views, w->vm_count)) {
@@ -881,6 +904,67 @@
     finish_reclaims(d, now);
 }
 
+/* Runs nothing but lasting tasks, all of which others have room for. */
+static bool
+can_consolidate(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
+{
+    if (v->order != VM_NONE || v->phase != CW_VM_UP || v->in_wave ||
+        v->reclaim_to.len > 0 || v->worker == NULL || v->worker->cordoned ||
+        v->worker->state != CW_WORKER_READY || v->worker->tasks == NULL ||
+        !same_life(v) || !vm_is_ours(d, v, now)) {
+        return false;
+    }
+    for (const struct cw_task *t = v->worker->tasks; t != NULL; t = t->next) {
+        if (!cw_task_step(t)->lasting || !cw_task_may_stop(t, now) ||
+            !cw_sched_room_elsewhere(t, true, now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Empties the VM with the least on it in a pool that has more than it needs:
+ * the move of a lasting task costs about as much as a second of a VM. One VM
+ * of a pool at a time. */
+static void
+consolidate(struct cw_jobd *d, const struct cw_pool_view *view,
+            const struct cw_name *service, cw_ms now)
+{
+    struct fleet_vm *best = NULL;
+
+    for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        if (!cw_name_eq(&v->pool, service)) {
+            continue;
+        }
+        if (v->consolidating) {
+            if (v->worker == NULL || v->worker->tasks == NULL || view->stuck ||
+                now - v->consolidate_at > CONSOLIDATE_MAX_MS) {
+                v->consolidating = false;
+                if (v->worker != NULL && v->order == VM_NONE) {
+                    v->worker->cordoned = false;
+                }
+                continue;
+            }
+            evacuate(d, v, true, true, "consolidate", now);
+            return;
+        }
+        if (can_consolidate(d, v, now) &&
+            (best == NULL ||
+             v->worker->task_count < best->worker->task_count)) {
+            best = v;
+        }
+    }
+    if (best != NULL && view->vms > cw_pool_wanted(view) + 1 && !view->stuck &&
+        view->incoming == 0 && view->idle == 0) {
+        best->consolidating = true;
+        best->consolidate_at = now;
+        best->worker->cordoned = true;
+        cw_log(CW_INFO, "vm_consolidate", "vm=%s service=%s tasks=%u vms=%u",
+               best->name.text, service->text, best->worker->task_count,
+               view->vms);
+    }
+}
+
 #define SERVICES_MAX 64
 
 /* One line a second on what the moves are decided from. */
@@ -945,6 +1029,11 @@
         }
     }
     run_reclaims(d, views, n, now);
+    for (size_t i = 0; i < n; i++) {
+        if (!views[i].spare) {
+            consolidate(d, &views[i], &d->config.services[i].service, now);
+        }
+    }
 }
 
 void
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -178,10 +178,11 @@
     struct cw_task *tasks;
     int64_t born_wall; /* of this life, 0: unknown */
     uint8_t state;
-    bool cordoned;  /* takes no new tasks: upkeep or move ahead */
-    bool reserved;  /* during one plan: kept free for a waiting task */
-    bool contacted; /* answered a report since this scheduler began */
-    bool fails;     /* judged to fail what it starts */
+    bool upkeep_due; /* will be maintained soon: no lasting tasks */
+    bool cordoned;   /* takes no new tasks: upkeep or move ahead */
+    bool reserved;   /* during one plan: kept free for a waiting task */
+    bool contacted;  /* answered a report since this scheduler began */
+    bool fails;      /* judged to fail what it starts */
     cw_ms seen_at;
     cw_ms gone_at;
     cw_ms listed;      /* its entry was seen then */
@@ -464,6 +465,9 @@
 
 /* Places tasks that may start. */
 void cw_sched_plan(struct cw_sched *s, cw_ms now);
+/* Another worker, not due for upkeep, has room for a task that runs; busy:
+ * only workers that have tasks count. */
+bool cw_sched_room_elsewhere(const struct cw_task *t, bool busy, cw_ms now);
 /* What waits and runs in a pool; cpu in thousandths of a core. */
 struct cw_pool_load {
     struct cw_demand_sum running;
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -207,10 +207,11 @@
 /* ---- waves -----------------------------------------------------------------
  */
 
-/* VMs cleared at a time while the wave is in time, and the share of the
- * duration by which all should be done. */
+/* VMs cleared at a time while the wave is in time, at least and as a share of
+ * its VMs, and the share of the duration by which all should be done. */
 #define CLEAR_AT_ONCE 2
-#define IN_TIME 0.7
+#define CLEAR_SHARE 0.05
+#define IN_TIME 0.6
 
 bool
 cw_upkeep_done(const struct cw_upkeep_vm *vms, size_t n)
@@ -278,7 +279,7 @@
         }
     }
     /* Behind the even pace more VMs are cleared at a time. */
-    most = CLEAR_AT_ONCE;
+    most = CLEAR_AT_ONCE + (uint32_t)(CLEAR_SHARE * (double)n);
     if (n > 0 && 1.0 - (double)left / (double)n < pace) {
         most +=
             (uint32_t)((pace - 1.0 + (double)left / (double)n) * (double)n);
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -167,6 +167,20 @@
            (st->max_per_worker == 0 || of_step(w, t) < st->max_per_worker);
 }
 
+bool
+cw_sched_room_elsewhere(const struct cw_task *t, bool busy, cw_ms now)
+{
+    const struct cw_pool *p = t->worker->pool;
+
+    for (const struct cw_worker *w = p->workers; w != NULL; w = w->next) {
+        if (w != t->worker && !w->upkeep_due && eligible(w, t, now) &&
+            (!busy || w->task_count > 0)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint32_t
 serving_tasks(const struct cw_worker *w)
 {
@@ -197,6 +211,9 @@
     else if (st->target_ms > 0) {
         v -= 3.0 * w->backfill_count;
     }
+    if (st->lasting && w->upkeep_due) {
+        v -= 5;
+    }
     if (st->data_rack.len > 0 && cw_name_eq(&st->data_rack, &w->rack)) {
         v += 10;
     }
