--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -115,12 +115,11 @@
 
     /* Membership. */
     uint64_t generation;
-    bool in_group;      /* joins, or is about to */
-    cw_ms ownerless_at; /* somebody scheduled then */
-    bool join_busy;
+    bool in_group;       /* joins, or is about to */
+    cw_ms ownerless_at;  /* somebody scheduled then */
+    uint32_t joins_open; /* without an answer yet */
     bool leaving;
-    cw_ms join_at; /* next join */
-    cw_ms join_sent;
+    cw_ms join_at;      /* next join */
     cw_ms member_until; /* our membership holds until then for certain */
     bool store_ok;
     struct cw_name owner; /* peer address of the daemon that schedules */
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -7,6 +7,9 @@
 
 /* Time between joins: several fit into the shortest membership. */
 #define JOIN_EVERY_MS 250
+/* Joins that may wait for their answers: the store counts from their arrival,
+ * so that slow answers need not end a membership. */
+#define JOINS_OPEN 4
 /* Daemons that stand by for the scheduler's part, the holder included. */
 #define GROUP_SIZE 3
 /* A daemon with less of a core than this joins only when no other does; the
@@ -197,20 +200,27 @@
     }
 }
 
+struct join_call {
+    struct cw_jobd *d;
+    cw_ms sent;
+};
+
 static void
 on_join(void *arg, enum cw_status s, uint64_t generation, bool holds)
 {
-    struct cw_jobd *d = arg;
+    struct join_call call = *(struct join_call *)arg;
+    struct cw_jobd *d = call.d;
     cw_ms now = cw_jobd_now(d);
 
-    d->join_busy = false;
+    free(arg);
+    d->joins_open--;
     note_store(d, s == CW_OK, s);
     if (s != CW_OK) {
         cw_jobd_count(d, "cuminwalk_join_failures_total", cw_status_name(s));
         return;
     }
-    if (d->leaving) {
-        return;
+    if (d->leaving || !d->in_group || generation < d->generation) {
+        return; /* overtaken by a later join, or no longer wanted */
     }
     if (generation != d->generation) {
         cw_log(CW_INFO, "group_changed", "generation=%llu was=%llu holds=%d",
@@ -218,7 +228,9 @@
                (unsigned long long)d->generation, holds);
     }
     d->generation = generation;
-    d->member_until = d->join_sent + d->settings.member_ttl_ms;
+    if (call.sent + d->settings.member_ttl_ms > d->member_until) {
+        d->member_until = call.sent + d->settings.member_ttl_ms;
+    }
     if (!holds) {
         cw_member_step_down(d, "part_lost");
     }
@@ -230,11 +242,15 @@
 static void
 send_join(struct cw_jobd *d, cw_ms now)
 {
-    d->join_busy = true;
-    d->join_sent = now;
+    struct join_call *call = malloc(sizeof(*call));
+
+    CW_INVARIANT(call != NULL);
+    *call = (struct join_call){d, now};
+    d->joins_open++;
     d->join_at = now + JOIN_EVERY_MS;
     d->ports.store.join(d->ports.ctx, cw_name_str(&d->settings.peer_listen),
-                        d->generation, d->settings.member_ttl_ms, on_join, d);
+                        d->generation, d->settings.member_ttl_ms, on_join,
+                        call);
 }
 
 static void
@@ -313,7 +329,8 @@
 void
 cw_member_tick(struct cw_jobd *d, cw_ms now)
 {
-    if (d->in_group && !d->join_busy && !d->leaving && now >= d->join_at) {
+    if (d->in_group && d->joins_open < JOINS_OPEN && !d->leaving &&
+        now >= d->join_at) {
         send_join(d, now);
     }
     if (d->role == CW_ROLE_FOLLOWER && !d->owner_busy && now >= d->owner_due) {
