--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -41,6 +41,7 @@
     int check = 0;
     int jobs = 0;
     int version = 0;
+    const char *from_env = getenv(SETTINGS_ENV);
     struct poptOption table[] = {
         {"settings", 's', POPT_ARG_STRING, &o->settings, 0,
          "settings file (JSON)", "FILE"},
@@ -56,8 +57,8 @@
 
     o->check = check != 0;
     o->jobs = jobs != 0;
-    if (o->settings == NULL && getenv(SETTINGS_ENV) != NULL) {
-        o->settings = strdup(getenv(SETTINGS_ENV));
+    if (o->settings == NULL && from_env != NULL) {
+        o->settings = strdup(from_env);
     }
     if (rc < -1) {
         fprintf(stderr, "cuminwalkd: %s: %s\n",
--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -23,6 +23,9 @@
  * the commit, but no longer than this. */
 #define ACK_WAIT_MS 200
 
+/* No percentage: differs from any pace that is wanted. */
+#define PACE_UNKNOWN 255
+
 enum order_kind { ORDER_START, ORDER_STOP, ORDER_PACE };
 
 struct order {
@@ -225,6 +228,9 @@
         retry(o, now);
     }
     else {
+        if (s != CW_OK && o->kind == ORDER_PACE && t != NULL) {
+            t->pace = PACE_UNKNOWN; /* the next decision sends it again */
+        }
         free(o);
     }
     after_change(d);
--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -53,12 +53,21 @@
     c->done(c);
 }
 
+/* A scheduler that stops takes no further changes, so that its last commit
+ * ends; another daemon schedules in a moment. */
+static bool
+hands_over(const struct cw_jobd *d, const struct cw_call *c)
+{
+    return d->stopping &&
+           (c->kind == CW_CALL_SUBMIT || c->kind == CW_CALL_CANCEL);
+}
+
 void
 cw_calls_dispatch(struct cw_jobd *d, struct cw_call *c)
 {
     cw_ms now = cw_jobd_now(d);
 
-    if (d->role == CW_ROLE_SCHEDULER) {
+    if (d->role == CW_ROLE_SCHEDULER && !hands_over(d, c)) {
         cw_calls_run(d, c);
         return;
     }
@@ -127,6 +136,10 @@
         cw_calls_end(c, CW_CALL_NOT_HOLDER, "not_scheduler", RETRY_MS);
         return;
     }
+    if (hands_over(d, c)) {
+        cw_calls_end(c, CW_CALL_NOT_HOLDER, "stopping", RETRY_MS);
+        return;
+    }
     switch (c->kind) {
     case CW_CALL_SUBMIT:
         run_submit(d, c, now);
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -80,6 +80,7 @@
     uint32_t waiting;
     cw_ms retry_after_ms;
     const char *reason;
+    char far_reason[32]; /* of the daemon that schedules */
     void (*done)(struct cw_call *c);
     void *arg;
 };
--- a/packages/jobd/fleet_moves.c
+++ b/packages/jobd/fleet_moves.c
@@ -32,7 +32,7 @@
         return p;
     }
     p = calloc(1, sizeof(*p));
-    grown = realloc(f->curves, (f->curve_count + 1) * sizeof(*grown));
+    grown = realloc(f->curves, (f->curve_count + 1) * sizeof(void *));
     CW_INVARIANT(p != NULL && grown != NULL);
     p->service = *service;
     f->curves = grown;
--- a/packages/jobd/forward.c
+++ b/packages/jobd/forward.c
@@ -40,7 +40,7 @@
         m.state = c->state;
         m.waiting = c->waiting;
         m.retry_after_ms = (uint32_t)c->retry_after_ms;
-        m.holder = (char *)(c->reason == NULL ? "" : c->reason);
+        m.reason = (char *)(c->reason == NULL ? "" : c->reason);
     }
     env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_ANSWER;
     env.job_answer = &m;
@@ -144,10 +144,11 @@
     }
     c->state = (enum cw_job_state)(m->state > CW_JOB_CANCELLED ? 0 : m->state);
     c->waiting = m->waiting;
+    (void)snprintf(c->far_reason, sizeof(c->far_reason), "%s", m->reason);
     cw_calls_end(c,
                  m->result > CW_CALL_GONE ? CW_CALL_UNKNOWN
                                           : (enum cw_call_result)m->result,
-                 "", m->retry_after_ms);
+                 c->far_reason, m->retry_after_ms);
 }
 
 static bool
--- a/packages/jobd/jobd.c
+++ b/packages/jobd/jobd.c
@@ -10,6 +10,8 @@
 #define PROBE_OUT_MS 2200
 /* Time after the listener closed for requests that were on their way. */
 #define LINGER_MS 300
+/* A scheduler that stops waits this long for its last commit. */
+#define HANDOVER_MAX_MS 1000
 /* What is kept of the grace period for the exit itself. */
 #define EXIT_MARGIN_MS 1200
 /* Time between looks for jobs and workers that can be forgotten. */
@@ -95,7 +97,8 @@
     cw_ms since = now - d->stop_at;
     bool late = since > d->settings.grace_ms - EXIT_MARGIN_MS;
 
-    if (!d->leaving && (!d->commit_busy || since > PROBE_OUT_MS)) {
+    if (!d->leaving && ((!d->commit_busy && d->committing == NULL) ||
+                        since > HANDOVER_MAX_MS)) {
         cw_member_step_down(d, "stopping");
         cw_member_leave(d);
     }
@@ -175,9 +178,6 @@
 {
     struct cw_jobd_settings *to = &d->settings;
 
-    if (memcmp(to, s, sizeof(*to)) == 0) {
-        return;
-    }
     /* Addresses stay until the next start; times hold from now on. */
     to->member_ttl_ms = s->member_ttl_ms;
     to->grace_ms = s->grace_ms;
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -178,6 +178,8 @@
     struct cw_task *tasks;
     int64_t born_wall; /* of this life, 0: unknown */
     uint8_t state;
+    uint8_t slowed;  /* percent taken off backfill tasks here */
+    cw_ms paced_at;  /* last change of that */
     bool upkeep_due; /* will be maintained soon: no lasting tasks */
     bool cordoned;   /* takes no new tasks: upkeep or move ahead */
     bool reserved;   /* during one plan: kept free for a waiting task */
@@ -504,6 +506,9 @@
 
 /* Slows backfill tasks beside tasks whose tail is above their target. */
 void cw_sched_pace(struct cw_sched *s, cw_ms now);
+/* The pace after one with the worst tail, a share of its target; negative when
+ * there is none. */
+uint32_t cw_pace_percent(double worst, uint32_t percent);
 
 /* Marks the job as changed in the open batch. */
 void cw_job_touch(struct cw_sched *s, struct cw_job_run *j);
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -207,6 +207,9 @@
     size_t n = (size_t)cw_job_spec_width(s) * s->repeats;
     size_t at = 0;
 
+    if (n == 0) {
+        return CW_ERR_INVALID;
+    }
     j->tasks = calloc(n, sizeof(*j->tasks));
     j->open = calloc(s->step_count * s->repeats, sizeof(*j->open));
     if (j->tasks == NULL || j->open == NULL) {
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -3165,12 +3165,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holder",
+    "reason",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cuminwalk__JobAnswer, holder),
+    offsetof(Cuminwalk__JobAnswer, reason),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -3178,7 +3178,7 @@
   },
 };
 static const unsigned cuminwalk__job_answer__field_indices_by_name[] = {
-  5,   /* field[5] = holder */
+  5,   /* field[5] = reason */
   1,   /* field[1] = result */
   4,   /* field[4] = retry_after_ms */
   2,   /* field[2] = state */
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -395,7 +395,7 @@
   uint32_t state;
   uint32_t waiting;
   uint32_t retry_after_ms;
-  char *holder;
+  char *reason;
 };
 #define CUMINWALK__JOB_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_answer__descriptor) \
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -309,7 +309,7 @@
     struct cw_worker *w;
     struct cw_run_row rows[2];
 
-    w = jobs_worker(&f, "w1", "v1", 4000);
+    jobs_worker(&f, "w1", "v1", 4000);
     jobs_accept(&f, &s);
     jobs_commit(&f);
     jobs_confirm(&f, 0);
@@ -574,6 +574,66 @@
     assert_int_equal(jobs_asked(&f, 's'), 3);
 }
 
+/* Backfill work beside a task whose tail is above its target slows down until
+ * the tail falls, and comes back in steps. */
+static void
+test_pace_steps(void **state)
+{
+    (void)state;
+    static const struct {
+        double worst;
+        uint32_t percent;
+        uint32_t next;
+    } cases[] = {
+        {-1, 30, 100}, {1.2, 100, 50}, {1.2, 50, 25},
+        {1.2, 12, 0},  {1.2, 0, 0},    {0.8, 50, 50},
+        {0.5, 50, 75}, {0.5, 90, 100}, {0.91, 100, 50},
+    };
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        assert_int_equal(cw_pace_percent(cases[i].worst, cases[i].percent),
+                         cases[i].next);
+    }
+}
+
+/* The same on a worker: one order a task, and no second one before a report
+ * shows the effect of the first. */
+static void
+test_pace(void **state)
+{
+    (void)state;
+    struct cw_job_spec s = jobs_chain(7, 2, 1, 1000);
+    struct cw_worker *w = jobs_worker(&f, "w1", "v1", 4000);
+    struct cw_run_row rows[2];
+
+    s.steps[1].after = 0;
+    s.steps[0].lasting = s.steps[1].lasting = true;
+    s.steps[0].target_ms = 100;
+    s.steps[1].backfill = true;
+    jobs_accept(&f, &s);
+    jobs_commit(&f);
+    jobs_confirm(&f, 0);
+    f.now += 1000;
+    for (size_t i = 0; i < 2; i++) {
+        rows[i] = at_work(f.asked[i].row, 100);
+        rows[i].figure = 150;
+    }
+    jobs_report_running(&f, w, rows, 2);
+    cw_sched_pace(&f.s, f.now);
+    cw_sched_pace(&f.s, f.now);
+    assert_int_equal(jobs_asked(&f, 'p'), 1);
+    assert_int_equal(f.asked[f.asked_count - 1].row.percent, 50);
+    f.now += 300;
+    jobs_report_running(&f, w, rows, 2);
+    cw_sched_pace(&f.s, f.now);
+    assert_int_equal(jobs_asked(&f, 'p'), 1);
+    f.now += 500;
+    jobs_report_running(&f, w, rows, 2);
+    cw_sched_pace(&f.s, f.now);
+    assert_int_equal(jobs_asked(&f, 'p'), 2);
+    assert_int_equal(f.asked[f.asked_count - 1].row.percent, 25);
+}
+
 /* How far a wave is outlives the scheduler: its VMs were maintained again and
  * their tasks moved off once more after each takeover. */
 static void
@@ -642,6 +702,8 @@
         cmocka_unit_test_setup_teardown(test_gang, begin, end),
         cmocka_unit_test_setup_teardown(test_checkpoint, begin, end),
         cmocka_unit_test_setup_teardown(test_occurrences, begin, end),
+        cmocka_unit_test(test_pace_steps),
+        cmocka_unit_test_setup_teardown(test_pace, begin, end),
         cmocka_unit_test_setup_teardown(test_notes, begin, end),
         cmocka_unit_test_setup_teardown(test_bad_records, begin, end),
     };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -282,8 +282,8 @@
 /* anane-pitch trouble-1: a daemon that lost the scheduler's role closed the
  * connections of all workers with calls under way, and ended with code 139:
  * the pool's memory went before the sockets had called back. Shows under
- * valgrind, which .ci/run uses for this program: libuv, which reads the memory,
- * is not built for the sanitizers. */
+ * valgrind, which .ci/run uses for this program: libuv, which reads the
+ * memory, is not built for the sanitizers. */
 static void
 test_close_with_calls(void **state)
 {
