--- a/packages/jobd/fleet_int.h
+++ b/packages/jobd/fleet_int.h
@@ -47,6 +47,7 @@
     struct cw_name service; /* first, for cw_map */
     struct cw_demand_curve curve;
     uint64_t arrived; /* as counted last */
+    uint64_t arrived_jobs;
 };
 
 struct cw_fleet {
--- a/packages/jobd/fleet_moves.c
+++ b/packages/jobd/fleet_moves.c
@@ -49,8 +49,10 @@
     for (struct cw_pool *p = d->sched->pool_list; p != NULL; p = p->next) {
         struct pool_demand *c = demand_of(f, &p->service);
 
-        cw_curve_add(&c->curve, now, (double)(p->arrived_cpu_ms - c->arrived));
+        cw_curve_add(&c->curve, now, (double)(p->arrived_cpu_ms - c->arrived),
+                     (uint32_t)(p->arrived_jobs - c->arrived_jobs));
         c->arrived = p->arrived_cpu_ms;
+        c->arrived_jobs = p->arrived_jobs;
     }
     if (now >= f->period_due) {
         const struct cw_demand_curve *curves[64];
--- a/packages/jobs/cw_fleet.h
+++ b/packages/jobs/cw_fleet.h
@@ -13,13 +13,16 @@
 /* Work that arrived in a pool, in slots of time. */
 struct cw_demand_curve {
     double work[CW_CURVE_SLOTS]; /* thousandths of a core x ms */
-    int64_t slot;                /* the latest one, counted from time 0 */
-    int64_t first;               /* the earliest one that is known */
+    uint16_t jobs[CW_CURVE_SLOTS];
+    int64_t slot;  /* the latest one, counted from time 0 */
+    int64_t first; /* the earliest one that is known */
     bool begun;
 };
 
-void cw_curve_add(struct cw_demand_curve *c, cw_ms now, double work);
-/* Mean rate in thousandths of a core over window_ms up to now. */
+void cw_curve_add(struct cw_demand_curve *c, cw_ms now, double work,
+                  uint32_t jobs);
+/* Mean rate in thousandths of a core over window_ms up to now; 0 when too few
+ * jobs arrived for it to tell more than those jobs do. */
 double cw_curve_rate(const struct cw_demand_curve *c, cw_ms now,
                      cw_ms window_ms);
 /* The time after which the demand of all curves repeats, or 0 when none is
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -222,6 +222,7 @@
     bool guards;             /* workers refuse what does not fit */
     uint32_t worker_count;
     cw_ms stuck_logged;
+    uint64_t arrived_jobs;   /* handed in */
     uint64_t arrived_cpu_ms; /* work handed in, thousandths of a core x ms */
     struct cw_queue_times times[CW_QUEUES_TIMED];
     size_t time_count;
--- a/packages/jobs/fleet_demand.c
+++ b/packages/jobs/fleet_demand.c
@@ -3,6 +3,8 @@
 
 #include <math.h>
 
+/* Jobs that make a rate: a single large one would look like a burst. */
+#define RATE_JOBS_MIN 4
 /* Periods that are looked for. */
 #define PERIOD_MIN_MS 6000
 #define PERIOD_MAX_MS 30000
@@ -26,6 +28,7 @@
         c->first = slot;
         c->slot = slot;
         c->work[place(slot)] = 0;
+        c->jobs[place(slot)] = 0;
         return;
     }
     if (slot - c->slot > CW_CURVE_SLOTS) {
@@ -34,6 +37,7 @@
     while (c->slot < slot) {
         c->slot++;
         c->work[place(c->slot)] = 0;
+        c->jobs[place(c->slot)] = 0;
     }
     if (c->slot - c->first >= CW_CURVE_SLOTS) {
         c->first = c->slot - CW_CURVE_SLOTS + 1;
@@ -41,12 +45,13 @@
 }
 
 void
-cw_curve_add(struct cw_demand_curve *c, cw_ms now, double work)
+cw_curve_add(struct cw_demand_curve *c, cw_ms now, double work, uint32_t jobs)
 {
     int64_t slot = now / CW_CURVE_SLOT_MS;
 
     advance(c, slot);
     c->work[place(slot)] += work;
+    c->jobs[place(slot)] += (uint16_t)jobs;
 }
 
 static double
@@ -65,11 +70,15 @@
     /* The latest slot is not over yet. */
     double ms = (double)((n - 1) * CW_CURVE_SLOT_MS + now % CW_CURVE_SLOT_MS);
     double sum = 0;
+    uint32_t jobs = 0;
 
     for (int64_t i = 0; i < n; i++) {
         sum += at(c, last - i);
+        jobs += c->begun && last - i >= c->first && last - i <= c->slot
+                    ? c->jobs[place(last - i)]
+                    : 0;
     }
-    return ms <= 0 ? 0 : sum / ms;
+    return ms <= 0 || jobs < RATE_JOBS_MIN ? 0 : sum / ms;
 }
 
 /* A smoothed sample: single jobs make the slots jump. */
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -278,6 +278,7 @@
     pool_add_job(p, j);
     j->times = cw_pool_times(p, &j->queue);
     p->arrived_cpu_ms += spec_work(&j->spec);
+    p->arrived_jobs += j->lasting ? 0 : 1;
     j->bucket = *b;
     *b = j;
     s->job_count++;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -150,7 +150,7 @@
         for (size_t k = 0; k < pools; k++) {
             bool turn = (size_t)(now / 4000) % pools == k;
 
-            cw_curve_add(&c[k], now, turn ? 250.0 * 50 : 3.0 * 50);
+            cw_curve_add(&c[k], now, turn ? 250.0 * 50 : 3.0 * 50, 1);
         }
     }
 }
@@ -183,15 +183,34 @@
 
     memset(&c, 0, sizeof(c));
     for (cw_ms now = 0; now < 10000; now += 50) {
-        cw_curve_add(&c, now, 10.0 * 50);
+        cw_curve_add(&c, now, 10.0 * 50, 1);
     }
     assert_true(cw_curve_rate(&c, 9999, 500) < 15);
     for (cw_ms now = 10000; now < 10500; now += 50) {
-        cw_curve_add(&c, now, 250.0 * 50);
+        cw_curve_add(&c, now, 250.0 * 50, 1);
     }
     assert_true(cw_curve_rate(&c, 10499, 500) > 200);
 }
 
+/* threadline-cw quiet-1: one large job in half a second counted as a rate of
+ * 780 cores, and 23 VMs were cleared for it in the middle of another pool's
+ * turn.
+ */
+static void
+test_large_job_is_no_rate(void **state)
+{
+    (void)state;
+    static struct cw_demand_curve c;
+
+    memset(&c, 0, sizeof(c));
+    cw_curve_add(&c, 9800, 400000.0 * 1000, 1);
+    assert_true(cw_curve_rate(&c, 10000, 500) == 0);
+    for (int i = 0; i < 4; i++) {
+        cw_curve_add(&c, 9900, 8000.0 * 1000, 1);
+    }
+    assert_true(cw_curve_rate(&c, 10000, 500) > 0);
+}
+
 /* No more VMs of a wave are down than its limit, idle ones go first, and a VM
  * with tasks is cleared, not ordered. */
 static void
@@ -230,6 +249,7 @@
         cmocka_unit_test(test_late_work_yields),
         cmocka_unit_test(test_period),
         cmocka_unit_test(test_rate_follows),
+        cmocka_unit_test(test_large_job_is_no_rate),
         cmocka_unit_test(test_upkeep),
     };
 
--- a/tests/test_ports.c
+++ b/tests/test_ports.c
@@ -540,9 +540,10 @@
         struct cw_http_client c;
         assert_int_equal(cw_http_client_init(&c, &f->loop, address), CW_OK);
         struct http_outcome o = {0};
-        cw_http_call(
-            &c, &(struct cw_http_request){"POST", "/work", CW_LIT("{}"), 1000},
-            on_http, &o);
+        cw_http_call(&c,
+                     &(struct cw_http_request){"POST", "/work", CW_LIT("{}"),
+                                               1000, NULL},
+                     on_http, &o);
         while (o.done == 0) {
             uv_run(&f->loop, UV_RUN_ONCE);
         }
