--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -98,6 +98,8 @@
     v->pool = r->pool;
     v->worker_id = r->worker;
     v->capacity = r->capacity;
+    memcpy(v->labels, r->labels, sizeof(v->labels));
+    v->label_count = r->label_count;
 }
 
 static void
--- a/packages/jobd/fleet_moves.c
+++ b/packages/jobd/fleet_moves.c
@@ -151,10 +151,55 @@
     }
     out.urgent_mb = l.urgent.mb;
     out.stuck = l.waits_ms > STUCK_MS;
+    if (l.label_waits_ms > STUCK_MS) {
+        out.label = l.label;
+    }
     out.lasting_waits = l.lasting_waits && out.stuck;
     return out;
 }
 
+static bool
+vm_has_label(const struct fleet_vm *v, const struct cw_name *label)
+{
+    for (size_t i = 0; i < v->label_count; i++) {
+        if (cw_name_eq(&v->labels[i], label)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* VMs of a pool that have the first label, the kind, of this one. */
+static uint32_t
+of_kind(const struct cw_jobd *d, const struct fleet_vm *v)
+{
+    uint32_t n = 0;
+
+    for (const struct fleet_vm *o = d->fleet->list; o != NULL; o = o->next) {
+        n += cw_name_eq(&o->pool, &v->pool) && o->label_count > 0 &&
+                     v->label_count > 0 &&
+                     cw_name_eq(&o->labels[0], &v->labels[0])
+                 ? 1
+                 : 0;
+    }
+    return n;
+}
+
+/* The VM that its pool misses least: of the commonest kind, idle longest. */
+static bool
+better_to_give(const struct cw_jobd *d, const struct fleet_vm *a,
+               const struct fleet_vm *b)
+{
+    uint32_t na = of_kind(d, a);
+    uint32_t nb = of_kind(d, b);
+
+    if (na != nb) {
+        return na > nb;
+    }
+    return a->worker != NULL && b->worker != NULL &&
+           a->worker->idle_at < b->worker->idle_at;
+}
+
 static struct fleet_vm *
 free_vm(struct cw_jobd *d, const struct cw_name *pool, cw_ms now)
 {
@@ -165,8 +210,7 @@
             v->clearing || v->reclaim_to.len > 0 || v->in_wave) {
             continue;
         }
-        if (best == NULL || (v->worker != NULL && best->worker != NULL &&
-                             v->worker->idle_at < best->worker->idle_at)) {
+        if (best == NULL || better_to_give(d, v, best)) {
             best = v;
         }
     }
@@ -241,6 +285,47 @@
     finish_reclaims(d, now);
 }
 
+/* A task that needs a label waits for a VM that has it: an idle one moves,
+ * else one without lasting tasks is cleared. */
+static void
+pull_label(struct cw_jobd *d, const struct cw_pool_view *view,
+           const struct cw_name *service, cw_ms now)
+{
+    struct fleet_vm *idle = NULL;
+    struct fleet_vm *busy = NULL;
+
+    if (view->label.len == 0 || view->incoming > 0 || view->clearing > 0) {
+        return;
+    }
+    for (struct fleet_vm *v = d->fleet->list; v != NULL; v = v->next) {
+        if (cw_name_eq(&v->pool, service) || !vm_has_label(v, &view->label) ||
+            v->clearing || v->reclaim_to.len > 0 || v->in_wave) {
+            continue;
+        }
+        if (cw_fleet_vm_free(d, v, now)) {
+            idle = v;
+        }
+        else if (can_clear(d, v, now) &&
+                 (busy == NULL ||
+                  v->worker->task_count < busy->worker->task_count)) {
+            busy = v;
+        }
+    }
+    if (idle == NULL && busy == NULL) {
+        return;
+    }
+    cw_log(CW_INFO, "vm_for_label", "vm=%s label=%s to=%s idle=%d",
+           idle != NULL ? idle->name.text : busy->name.text, view->label.text,
+           service->text, idle != NULL);
+    if (idle != NULL) {
+        cw_fleet_order(d, idle, VM_MOVE, service, 0);
+    }
+    else {
+        busy->reclaim_to = *service;
+        busy->worker->cordoned = true;
+    }
+}
+
 /* Runs nothing but lasting tasks, all of which others have room for. */
 static bool
 can_consolidate(const struct cw_jobd *d, const struct fleet_vm *v, cw_ms now)
@@ -368,6 +453,7 @@
     run_reclaims(d, views, n, now);
     for (size_t i = 0; i < n; i++) {
         if (!views[i].spare) {
+            pull_label(d, &views[i], &d->config.services[i].service, now);
             consolidate(d, &views[i], &d->config.services[i].service, now);
         }
     }
--- a/packages/jobs/cw_fleet.h
+++ b/packages/jobs/cw_fleet.h
@@ -48,13 +48,14 @@
     uint32_t clearable; /* VMs without lasting tasks that could be cleared */
     uint64_t vm_cpu;    /* of one VM */
     uint64_t vm_mb;
-    bool stuck;         /* a task finds no room although the sums say so */
-    bool lasting_waits; /* the stuck task is one that lasts */
-    uint32_t vms;       /* that are up or on their way in */
-    uint32_t incoming;  /* of these, on their way */
-    uint32_t least;     /* never fewer */
-    uint32_t idle;      /* that could leave now */
-    uint32_t idle_long; /* of these, idle for long: may be turned off */
+    bool stuck;           /* a task finds no room although the sums say so */
+    struct cw_name label; /* that a stuck task needs; "": none */
+    bool lasting_waits;   /* the stuck task is one that lasts */
+    uint32_t vms;         /* that are up or on their way in */
+    uint32_t incoming;    /* of these, on their way */
+    uint32_t least;       /* never fewer */
+    uint32_t idle;        /* that could leave now */
+    uint32_t idle_long;   /* of these, idle for long: may be turned off */
 };
 
 struct cw_vm_transfer {
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -498,6 +498,8 @@
     bool lasting_waits;           /* a lasting task waits */
     uint32_t workers;             /* up, not draining */
     cw_ms waits_ms;               /* longest time of a task that may start */
+    cw_ms label_waits_ms;         /* the same of tasks that need a label */
+    struct cw_name label;         /* that the latter needs */
 };
 struct cw_pool_load cw_pool_load(const struct cw_sched *s,
                                  const struct cw_pool *p, cw_ms now);
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -228,6 +228,10 @@
                 t->pace = 100;
                 t->restart_ok = true;
                 t->ready_at = j->accepted;
+                if (s->first_wall != 0) {
+                    t->ready_at += s->first_wall - s->accepted_wall +
+                                   (cw_ms)k * s->interval_ms;
+                }
                 t->away_at = j->accepted;
             }
             j->lasting |= s->steps[i].lasting;
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -374,7 +374,7 @@
 }
 
 /* Keeps the worker with the most free room for a task that waits for it. */
-static void
+static const struct cw_worker *
 reserve(struct cw_pool *p, const struct cw_task *t, cw_ms now)
 {
     const struct cw_step *st = cw_task_step(t);
@@ -395,6 +395,30 @@
     if (best != NULL) {
         best->reserved = true;
     }
+    return best;
+}
+
+/* A gang needs room for all its members at once. */
+static void
+reserve_unit(struct cw_pool *p, const struct unit *u,
+             const struct cw_task *left, cw_ms now)
+{
+    const struct cw_step *st = cw_task_step(left);
+    uint64_t cpu = st->gang ? (uint64_t)u->count * st->need.cpu_milli : 0;
+    uint64_t kept = 0;
+
+    do {
+        const struct cw_worker *w = reserve(p, left, now);
+
+        if (w == NULL) {
+            return;
+        }
+        /* Whole members only fit. */
+        kept += st->need.cpu_milli == 0
+                    ? cpu
+                    : w->capacity.cpu_milli / st->need.cpu_milli *
+                          st->need.cpu_milli;
+    } while (kept < cpu);
 }
 
 /* A task that waits longer than this is named in the log, with the reason for
@@ -438,13 +462,15 @@
     }
     cw_log(CW_INFO, "task_waits",
            "job=%016llx task=%u.%u.%u service=%s ms=%lld cpu=%u memory_mb=%u "
-           "workers=%u no_contact=%u cordoned=%u paused=%u unwell=%u "
+           "label=%s gang=%d same_rack=%d of=%u workers=%u no_contact=%u "
+           "cordoned=%u paused=%u unwell=%u "
            "reserved=%u full=%u",
            (unsigned long long)t->job->id, t->occurrence, t->step, t->index,
            p->service.text, (long long)(now - t->ready_at),
            cw_task_step(t)->need.cpu_milli, cw_task_step(t)->need.memory_mb,
-           p->worker_count, no_contact, cordoned, paused, unwell, reserved,
-           full);
+           cw_task_step(t)->required_label.text, cw_task_step(t)->gang,
+           cw_task_step(t)->same_rack, cw_task_step(t)->count, p->worker_count,
+           no_contact, cordoned, paused, unwell, reserved, full);
 }
 
 static void
@@ -484,7 +510,7 @@
 
         if (left != NULL && (units[i].tier == TIER_LASTING ||
                              now - left->ready_at > STARVED_MS)) {
-            reserve(p, left, now);
+            reserve_unit(p, &units[i], left, now);
         }
         if (left != NULL) {
             log_stuck(p, left, now);
@@ -554,6 +580,11 @@
                 if (now - t->ready_at > l.waits_ms) {
                     l.waits_ms = now - t->ready_at;
                 }
+                if (cw_task_step(t)->required_label.len > 0 &&
+                    now - t->ready_at > l.label_waits_ms) {
+                    l.label_waits_ms = now - t->ready_at;
+                    l.label = cw_task_step(t)->required_label;
+                }
             }
         }
     }
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -338,6 +338,24 @@
     cw_task_wait_again(s, t, now);
 }
 
+/* A gang that is not complete would wait for the missing member: the others
+ * stop, and all start again together. */
+static void
+stop_gang(struct cw_sched *s, const struct cw_task *t, cw_ms now)
+{
+    struct cw_job_run *j = t->job;
+
+    for (size_t i = 0; i < j->task_count; i++) {
+        struct cw_task *o = &j->tasks[i];
+
+        if (o != t && o->occurrence == t->occurrence && o->step == t->step &&
+            o->run == t->run &&
+            (o->state == CW_RUN_ORDERED || o->state == CW_RUN_RUNNING)) {
+            cw_sched_stop_task(s, o, true, now);
+        }
+    }
+}
+
 void
 cw_sched_start_answered(struct cw_sched *s, struct cw_worker *w,
                         const struct cw_run_row *r, enum cw_start_answer a,
@@ -363,6 +381,9 @@
     if (t->state != CW_RUN_ORDERED && t->state != CW_RUN_STOPPING) {
         return;
     }
+    if (cw_task_step(t)->gang && a != CW_START_OLD) {
+        stop_gang(s, t, now);
+    }
     if (!sent_before) {
         start_refused(s, w, t, now);
     }
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -179,6 +179,8 @@
     struct cw_name worker;
     uint8_t phase;
     struct cw_demand_res capacity;
+    struct cw_name labels[CW_LABELS_MAX];
+    size_t label_count;
 };
 
 struct cw_vm_page {
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -523,6 +523,31 @@
     assert_int_equal(cw_job_shown(&f.s, j), CW_JOB_SUCCEEDED);
 }
 
+/* A site of our own with gangs: one member's start was rejected, the others
+ * had begun and waited for it until they ended alone. */
+static void
+test_gang_refused(void **state)
+{
+    (void)state;
+    struct cw_job_spec s = jobs_spec(7, 3, 2000);
+    struct cw_worker *w;
+
+    s.steps[0].gang = true;
+    jobs_worker(&f, "w1", "v1", 4000);
+    jobs_worker(&f, "w2", "v2", 4000);
+    jobs_accept(&f, &s);
+    jobs_commit(&f);
+    assert_int_equal(jobs_asked(&f, 's'), 3);
+    jobs_confirm(&f, 1);
+    w = cw_sched_worker(&f.s, cw_str_from(f.asked[0].worker));
+    cw_sched_start_answered(&f.s, w, &f.asked[0].row, CW_START_NO_ROOM, false,
+                            f.now);
+    assert_int_equal(jobs_asked(&f, 'x'), 2);
+    f.now += 5000;
+    jobs_commit(&f);
+    assert_int_equal(jobs_asked(&f, 's'), 3); /* not before they have ended */
+}
+
 /* A checkpoint survives the stop and a change of the scheduler, and goes with
  * the next start. */
 static void
@@ -700,6 +725,7 @@
                                         end),
         cmocka_unit_test_setup_teardown(test_restarted_worker, begin, end),
         cmocka_unit_test_setup_teardown(test_gang, begin, end),
+        cmocka_unit_test_setup_teardown(test_gang_refused, begin, end),
         cmocka_unit_test_setup_teardown(test_checkpoint, begin, end),
         cmocka_unit_test_setup_teardown(test_occurrences, begin, end),
         cmocka_unit_test(test_pace_steps),
