Test the daemon of the job service with the platform in its process

Two daemons on loopback behind fakes of the ports: the whole path, appends whose answers are lost, the store away, the scheduler stopping while work runs. Found by it: answers that came after the end of a daemon counted into freed metrics; they are void now.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -139,6 +139,25 @@
     push_order(o->agent, o);
 }
 
+/* Books the end of a call. True when the order counts no more and was freed:
+ * the agent closes, or a newer scheduler has been at the worker. */
+static bool
+order_void(struct order *o, enum cw_status s)
+{
+    struct cw_agent *a = o->agent;
+    struct cw_jobd *d = a->d;
+
+    a->in_flight--;
+    if (!a->closing && s != CW_ERR_FENCED) {
+        return false;
+    }
+    free(o);
+    if (!a->closing) {
+        cw_member_step_down(d, "worker_fenced");
+    }
+    return true;
+}
+
 static void
 on_start(void *arg, enum cw_status s, enum cw_start_answer answer)
 {
@@ -149,14 +168,7 @@
     struct cw_task *t;
     cw_ms now = cw_jobd_now(d);
 
-    a->in_flight--;
-    if (a->closing) {
-        free(o);
-        return;
-    }
-    if (s == CW_ERR_FENCED) {
-        free(o);
-        cw_member_step_down(d, "worker_fenced");
+    if (order_void(o, s)) {
         return;
     }
     if (s == CW_OK) {
@@ -204,14 +216,7 @@
     cw_ms now = cw_jobd_now(d);
     struct cw_task *t;
 
-    a->in_flight--;
-    if (a->closing) {
-        free(o);
-        return;
-    }
-    if (s == CW_ERR_FENCED) {
-        free(o);
-        cw_member_step_down(d, "worker_fenced");
+    if (order_void(o, s)) {
         return;
     }
     t = order_task(o);
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -175,6 +175,7 @@
     bool stopping;
     cw_ms stop_at;
     bool was_ready;
+    bool finished; /* answers that still come are void */
     char msg[CW_MSG_MAX];
 };
 
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -213,6 +213,9 @@
     cw_ms now = cw_jobd_now(d);
 
     free(arg);
+    if (d->finished) {
+        return;
+    }
     d->joins_open--;
     note_store(d, s == CW_OK, s);
     if (s != CW_OK) {
@@ -305,7 +308,7 @@
     bool same = cw_str_eq(cw_name_str(&d->owner), member);
 
     d->owner_busy = false;
-    if (s != CW_OK || d->role != CW_ROLE_FOLLOWER) {
+    if (s != CW_OK || d->finished || d->role != CW_ROLE_FOLLOWER) {
         return;
     }
     if (!same && cw_name_set(&d->owner, member) == CW_OK &&
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -121,6 +121,9 @@
     struct cw_jobd *d = arg;
 
     d->op_busy = false;
+    if (d->finished) {
+        return;
+    }
     if (s == CW_ERR_NOT_FOUND) {
         /* The records are gone; the newest of each key is kept. */
         d->op_known = false;
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -12,15 +12,20 @@
     return room > 0 && (double)n * room < (double)need ? n + 1 : n;
 }
 
+static uint32_t
+vms_for_both(const struct cw_pool_view *p, uint64_t cpu, uint64_t mb)
+{
+    uint32_t by_cpu = vms_for(cpu, p->vm_cpu);
+    uint32_t by_memory = vms_for(mb, p->vm_mb);
+
+    return by_cpu > by_memory ? by_cpu : by_memory;
+}
+
 uint32_t
 cw_pool_wanted(const struct cw_pool_view *p)
 {
-    uint32_t n = vms_for(p->need_cpu, p->vm_cpu);
-    uint32_t by_memory = vms_for(p->need_mb, p->vm_mb);
+    uint32_t n = vms_for_both(p, p->need_cpu, p->need_mb);
 
-    if (by_memory > n) {
-        n = by_memory;
-    }
     /* Room that is split over VMs may be too small for one task: one more VM
      * at a time. */
     if (p->stuck && p->incoming == 0 && n <= p->vms) {
@@ -32,12 +37,8 @@
 uint32_t
 cw_pool_urgent(const struct cw_pool_view *p)
 {
-    uint32_t n = vms_for(p->urgent_cpu, p->vm_cpu);
-    uint32_t by_memory = vms_for(p->urgent_mb, p->vm_mb);
+    uint32_t n = vms_for_both(p, p->urgent_cpu, p->urgent_mb);
 
-    if (by_memory > n) {
-        n = by_memory;
-    }
     return n > p->least ? n : p->least;
 }
 
--- /dev/null
+++ b/tests/jobs_fake.h
@@ -0,0 +1,70 @@
+/* The platform in this process, behind the ports of the job service: a store
+ * with one group, and workers that finish each task after a while. Answers
+ * come from the loop, never inside a call. */
+#ifndef JOBS_FAKE_H
+#define JOBS_FAKE_H
+
+#include "cw_job_ports.h"
+
+#include <uv.h>
+
+#define FAKE_RECORDS_MAX 512
+#define FAKE_MEMBERS_MAX 8
+#define FAKE_RUNS_MAX 256
+#define FAKE_WORKERS_MAX 4
+
+struct fake_run {
+    struct cw_run_row row;
+    cw_ms ends_at;
+    bool ended;
+    uint64_t number; /* of the end */
+};
+
+struct fake_worker {
+    char id[16];
+    uint64_t fence;
+    uint64_t next_end;
+    uint64_t acked;
+    struct fake_run runs[FAKE_RUNS_MAX];
+    size_t run_count;
+};
+
+struct fake_platform {
+    uv_loop_t *loop;
+    struct {
+        enum cw_stream stream;
+        char key[64];
+        char *value;
+        size_t len;
+    } records[FAKE_RECORDS_MAX];
+    size_t record_count;
+    uint64_t epoch;
+    uint64_t sequence;
+    struct {
+        char name[64];
+        cw_ms until;
+    } members[FAKE_MEMBERS_MAX];
+    size_t member_count;
+    uint64_t generation;
+    struct fake_worker workers[FAKE_WORKERS_MAX];
+    size_t worker_count;
+    cw_ms task_ms; /* each task takes this long */
+    /* Faults. */
+    bool store_down;       /* calls of the store get no answer */
+    uint32_t lose_answers; /* of the next appends, which take effect */
+    /* What was seen. */
+    uint64_t appends;
+    uint64_t starts;
+    uint64_t double_starts; /* of a task that ran or had run */
+};
+
+void fake_init(struct fake_platform *f, uv_loop_t *loop);
+void fake_finish(struct fake_platform *f);
+/* Writes a record as operators and workers do. */
+void fake_put(struct fake_platform *f, enum cw_stream stream, const char *key,
+              const char *value);
+void fake_add_worker(struct fake_platform *f, const char *service);
+/* Fills the ports that the platform stands behind. */
+void fake_ports(struct fake_platform *f, struct cw_job_ports *ports);
+
+#endif
--- /dev/null
+++ b/tests/test_jobd.c
@@ -0,0 +1,384 @@
+/* Guards the daemon of the job service as callers see it: two daemons on
+ * loopback, the platform behind their ports in this process. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "cw_jobd.h"
+#include "jobs_fake.h"
+#include "platform_int.h"
+
+#define DAEMONS 2
+/* Longest wait for an event; generous, as the machine may be busy. */
+#define WAIT_MS 20000
+
+static uv_loop_t loop;
+static struct fake_platform fake;
+static struct cw_jobd daemons[DAEMONS];
+static struct cw_http_client clients[DAEMONS];
+static bool running[DAEMONS];
+
+struct reply {
+    bool got;
+    enum cw_status status;
+    int code;
+    char body[256];
+};
+
+static void
+on_reply(void *arg, enum cw_status s, const struct cw_http_answer *a)
+{
+    struct reply *r = arg;
+
+    r->got = true;
+    r->status = s;
+    r->code = a->status;
+    (void)snprintf(r->body, sizeof(r->body), "%.*s", CW_FMT(a->body));
+}
+
+static void
+on_wake(uv_timer_t *t)
+{
+    (void)t;
+}
+
+/* Runs the loop until the condition holds. */
+static bool
+run_until(bool (*holds)(void *arg), void *arg)
+{
+    uv_timer_t wake;
+    uint64_t end;
+    bool ok;
+
+    assert_int_equal(uv_timer_init(&loop, &wake), 0);
+    uv_timer_start(&wake, on_wake, 5, 5);
+    uv_update_time(&loop);
+    end = uv_now(&loop) + WAIT_MS;
+    while (!holds(arg) && uv_now(&loop) < end) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    ok = holds(arg);
+    uv_close((uv_handle_t *)&wake, NULL);
+    uv_run(&loop, UV_RUN_NOWAIT);
+    return ok;
+}
+
+static bool
+has_reply(void *arg)
+{
+    return ((struct reply *)arg)->got;
+}
+
+static bool
+has_scheduler(void *arg)
+{
+    size_t *who = arg;
+
+    for (size_t i = 0; i < DAEMONS; i++) {
+        if (running[i] && daemons[i].role == CW_ROLE_SCHEDULER) {
+            *who = i;
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+all_ready(void *arg)
+{
+    (void)arg;
+    for (size_t i = 0; i < DAEMONS; i++) {
+        bool linked =
+            daemons[i].role == CW_ROLE_SCHEDULER || daemons[i].owner_conn_open;
+
+        if (running[i] && (!cw_jobd_is_ready(&daemons[i]) || !linked)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static struct reply
+call(size_t to, const char *method, const char *path, const char *body)
+{
+    struct reply r = {0};
+    struct cw_http_request q = {method, path, cw_str_from(body), WAIT_MS,
+                                "X-Timeout-Ms: 15000\r\n"};
+
+    cw_http_call(&clients[to], &q, on_reply, &r);
+    assert_true(run_until(has_reply, &r));
+    return r;
+}
+
+#define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":3,\"cpu\":100}]}"
+
+struct shown {
+    size_t to;
+    const char *path;
+    const char *state;
+};
+
+static bool
+is_shown(void *arg)
+{
+    const struct shown *s = arg;
+    struct reply r = call(s->to, "GET", s->path, "");
+
+    return r.status == CW_OK && r.code == 200 &&
+           strstr(r.body, s->state) != NULL;
+}
+
+static void
+free_address(struct cw_name *out)
+{
+    uv_tcp_t tcp;
+    struct sockaddr_in sa;
+    struct sockaddr_storage bound;
+    int len = sizeof(bound);
+    char text[32];
+
+    assert_int_equal(uv_tcp_init(&loop, &tcp), 0);
+    assert_int_equal(uv_ip4_addr("127.0.0.1", 0, &sa), 0);
+    assert_int_equal(uv_tcp_bind(&tcp, (struct sockaddr *)&sa, 0), 0);
+    assert_int_equal(uv_tcp_getsockname(&tcp, (struct sockaddr *)&bound, &len),
+                     0);
+    (void)snprintf(text, sizeof(text), "127.0.0.1:%u",
+                   ntohs(((struct sockaddr_in *)&bound)->sin_port));
+    (void)cw_name_set(out, cw_str_from(text));
+    uv_close((uv_handle_t *)&tcp, NULL);
+    uv_run(&loop, UV_RUN_NOWAIT);
+}
+
+static void
+start_daemon(size_t i)
+{
+    struct cw_jobd *d = &daemons[i];
+    struct cw_faults faults = {0};
+    char json[512];
+    struct cw_name a[3];
+
+    for (size_t k = 0; k < 3; k++) {
+        free_address(&a[k]);
+    }
+    memset(d, 0, sizeof(*d));
+    (void)snprintf(json, sizeof(json),
+                   "{\"daemon\":\"d%zu\",\"dc\":\"z\",\"listen\":\"%s\","
+                   "\"ready_listen\":\"%s\",\"peer_listen\":\"%s\","
+                   "\"store\":\"127.0.0.1:9\"}",
+                   i, a[0].text, a[1].text, a[2].text);
+    assert_int_equal(
+        cw_jobd_settings_parse(&d->settings, cw_str_from(json), &faults),
+        CW_OK);
+    d->loop = &loop;
+    d->clock = cw_clock_system();
+    pf_caller_port(&d->ports);
+    pf_record_port(&d->ports);
+    fake_ports(&fake, &d->ports);
+    assert_int_equal(cw_jobd_start(d), CW_OK);
+    running[i] = true;
+    assert_int_equal(cw_http_client_init(&clients[i], &loop, a[0].text),
+                     CW_OK);
+}
+
+static void
+write_config(void)
+{
+    char json[1024];
+
+    (void)snprintf(json, sizeof(json),
+                   "{\"version\":1,\"routes\":["
+                   "{\"name\":\"q0\",\"host\":\"%s\",\"pathPrefix\":\"/j/\","
+                   "\"service\":\"s\",\"maxAttempts\":2},"
+                   "{\"name\":\"q1\",\"host\":\"%s\",\"pathPrefix\":\"/j/\","
+                   "\"service\":\"s\",\"maxAttempts\":2}],"
+                   "\"services\":[{\"name\":\"s\"}]}",
+                   clients[0].address.text, clients[1].address.text);
+    fake_put(&fake, CW_STREAM_OPERATORS, "config", json);
+}
+
+static void
+end_daemon(size_t i)
+{
+    if (running[i]) {
+        cw_http_client_finish(&clients[i]);
+        running[i] = false;
+        cw_jobd_finish(&daemons[i]);
+    }
+}
+
+static int
+begin(void **state)
+{
+    (void)state;
+    cw_logger_setup(CW_ERROR, stderr, NULL);
+    if (uv_loop_init(&loop) != 0) {
+        return -1;
+    }
+    fake_init(&fake, &loop);
+    fake_add_worker(&fake, "s");
+    fake_add_worker(&fake, "s");
+    for (size_t i = 0; i < DAEMONS; i++) {
+        start_daemon(i);
+    }
+    write_config();
+    return run_until(all_ready, NULL) ? 0 : -1;
+}
+
+static int
+end(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < DAEMONS; i++) {
+        end_daemon(i);
+    }
+    for (int i = 0; i < 1000 && uv_run(&loop, UV_RUN_NOWAIT) != 0; i++) {
+        uv_sleep(1);
+    }
+    fake_finish(&fake);
+    if (uv_loop_close(&loop) != 0) {
+        uv_print_all_handles(&loop, stderr);
+        return -1;
+    }
+    return 0;
+}
+
+/* A hand-in at any daemon is answered once it is stored, runs once, and any
+ * daemon tells its state; unknown queues and jobs are told apart. */
+static void
+test_whole_path(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *method;
+        const char *path;
+        const char *body;
+        int code;
+    } cases[] = {
+        {"POST", "/j/00000000000000a1", JOB, 200},
+        {"POST", "/j/00000000000000a1", JOB, 200}, /* the same once more */
+        {"GET", "/j/00000000000000ff", "", 410},
+        {"DELETE", "/j/00000000000000ff", "", 410},
+        {"POST", "/x/00000000000000a1", JOB, 404},
+        {"POST", "/j/00000000000000a2", "{}", 400},
+        {"GET", "/j/", "", 200},
+    };
+
+    for (size_t d = 0; d < DAEMONS; d++) {
+        for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+            struct reply r =
+                call(d, cases[i].method, cases[i].path, cases[i].body);
+
+            assert_int_equal(r.status, CW_OK);
+            assert_int_equal(r.code, cases[i].code);
+        }
+    }
+    for (size_t d = 0; d < DAEMONS; d++) {
+        struct shown s = {d, "/j/00000000000000a1", "succeeded"};
+
+        assert_true(run_until(is_shown, &s));
+    }
+    assert_int_equal(fake.starts, 3);
+    assert_int_equal(fake.double_starts, 0);
+}
+
+/* An append whose answer is lost has taken effect: the repeat must not add the
+ * job again, and the caller gets its answer. */
+static void
+test_lost_append(void **state)
+{
+    (void)state;
+    struct shown s = {0, "/j/00000000000000b1", "succeeded"};
+    struct reply r;
+
+    fake.lose_answers = 2;
+    r = call(0, "POST", s.path, JOB);
+    assert_int_equal(r.code, 200);
+    assert_true(run_until(is_shown, &s));
+    assert_int_equal(fake.starts, 3);
+    assert_int_equal(fake.double_starts, 0);
+}
+
+static bool
+is_refused(void *arg)
+{
+    struct reply r = call(*(size_t *)arg, "POST", "/j/00000000000000c2", JOB);
+
+    return r.status == CW_OK && r.code == 503;
+}
+
+/* While the store is away hand-ins are refused at once, and a refused one
+ * never runs; afterwards work goes on. */
+static void
+test_store_away(void **state)
+{
+    (void)state;
+    size_t who = 0;
+    struct shown s = {0, "/j/00000000000000c1", "succeeded"};
+    uint64_t before;
+
+    assert_true(run_until(has_scheduler, &who));
+    assert_int_equal(call(0, "POST", s.path, JOB).code, 200);
+    assert_true(run_until(is_shown, &s));
+    before = fake.starts;
+    fake.store_down = true;
+    /* The first of these may wait in a commit and be answered late. */
+    assert_true(run_until(is_refused, &who));
+    fake.store_down = false;
+    s.path = "/j/00000000000000c3";
+    assert_true(run_until(has_scheduler, &who));
+    while (call(who, "POST", s.path, JOB).code != 200) {
+        assert_true(run_until(has_scheduler, &who));
+    }
+    assert_true(run_until(is_shown, &s));
+    assert_int_equal(fake.double_starts, 0);
+    assert_true(fake.starts >= before + 3);
+}
+
+static bool
+has_left(void *arg)
+{
+    return daemons[*(size_t *)arg].role == CW_ROLE_FOLLOWER;
+}
+
+/* The scheduler stops while work runs: the other daemon takes over, nothing is
+ * lost and nothing runs twice. */
+static void
+test_handover(void **state)
+{
+    (void)state;
+    size_t old = 0;
+    size_t now;
+    struct shown s = {0, "/j/00000000000000d1", "succeeded"};
+
+    assert_true(run_until(has_scheduler, &old));
+    fake.task_ms = 600;
+    assert_int_equal(call(1 - old, "POST", s.path, JOB).code, 200);
+    cw_jobd_stop(&daemons[old]);
+    assert_true(run_until(has_left, &old));
+    now = old;
+    while (now == old) {
+        uv_run(&loop, UV_RUN_ONCE);
+        (void)has_scheduler(&now);
+    }
+    s.to = now;
+    assert_true(run_until(is_shown, &s));
+    assert_int_equal(fake.double_starts, 0);
+    assert_int_equal(fake.starts, 3);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_whole_path, begin, end),
+        cmocka_unit_test_setup_teardown(test_lost_append, begin, end),
+        cmocka_unit_test_setup_teardown(test_store_away, begin, end),
+        cmocka_unit_test_setup_teardown(test_handover, begin, end),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
