--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -32,15 +32,10 @@
     double cores;        /* of this VM's processors, that the daemon may use */
     cw_ms member_ttl_ms; /* shortest membership of the group, at least 1000 */
     cw_ms grace_ms;      /* from SIGTERM to SIGKILL */
-    cw_ms max_lease_ms;  /* longest lease that a worker takes */
+    cw_ms lease_ms;      /* given to workers */
     cw_ms status_ms;     /* ended jobs are kept this long */
-    cw_ms notice_ms;
-    cw_ms early_ms;
-    cw_ms harm_ms;
-    cw_ms move_ms;     /* a VM's move between pools */
-    cw_ms upkeep_ms;   /* a VM's maintenance */
-    cw_ms vm_lease_ms; /* between orders of two holders for one VM */
-    double far_factor;
+    cw_ms move_ms;       /* a VM's move between pools */
+    cw_ms vm_lease_ms;   /* between orders of two holders for one VM */
 };
 
 enum cw_status cw_jobd_settings_parse(struct cw_jobd_settings *s,
--- a/packages/jobd/jobd.c
+++ b/packages/jobd/jobd.c
@@ -182,10 +182,7 @@
     to->member_ttl_ms = s->member_ttl_ms;
     to->grace_ms = s->grace_ms;
     to->status_ms = s->status_ms;
-    to->notice_ms = s->notice_ms;
-    to->harm_ms = s->harm_ms;
     to->move_ms = s->move_ms;
-    to->upkeep_ms = s->upkeep_ms;
     to->vm_lease_ms = s->vm_lease_ms;
     cw_log(CW_INFO, "settings_reloaded", "grace_ms=%lld status_ms=%lld",
            (long long)s->grace_ms, (long long)s->status_ms);
--- a/packages/jobd/jobd_settings.c
+++ b/packages/jobd/jobd_settings.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-/* The store's shortest membership is a second. */
-#define MEMBER_TTL_MIN_MS 1000
+/* Shorter memberships end while a daemon is merely slow. */
+#define MEMBER_TTL_MS 1000
 
 static const char *const known_keys[] = {"service",
                                          "daemon",
@@ -17,17 +17,12 @@
                                          "store",
                                          "vm_control",
                                          "log_level",
-                                         "member_ttl_ms",
-                                         "grace_ms",
+                                         "member_ttl_min_ms",
+                                         "grace_s",
                                          "lease_ms",
-                                         "status_ms",
-                                         "notice_ms",
-                                         "early_ms",
-                                         "harm_ms",
-                                         "move_ms",
-                                         "upkeep_ms",
+                                         "status_s",
+                                         "move_s",
                                          "vm_lease_ms",
-                                         "far_factor",
                                          "cores",
                                          NULL};
 
@@ -36,17 +31,12 @@
 {
     memset(s, 0, sizeof(*s));
     s->log_level = CW_INFO;
-    s->member_ttl_ms = MEMBER_TTL_MIN_MS;
+    s->member_ttl_ms = MEMBER_TTL_MS;
     s->grace_ms = 6 * CW_SECOND;
-    s->max_lease_ms = 4500;
+    s->lease_ms = 4500;
     s->status_ms = 2 * CW_MINUTE;
-    s->notice_ms = 4500;
-    s->early_ms = 0;
-    s->harm_ms = 4 * CW_SECOND;
     s->move_ms = 1500;
-    s->upkeep_ms = 2 * CW_SECOND;
     s->vm_lease_ms = 3 * CW_SECOND;
-    s->far_factor = 1;
     s->cores = 1;
 }
 
@@ -70,22 +60,31 @@
     }
 }
 
+/* A time in seconds, with a fraction. */
+static void
+parse_seconds(const struct cw_jobj *o, const char *key, double least,
+              cw_ms *out)
+{
+    double s = (double)*out / 1000;
+
+    if (cw_jget_real(o, key, false, least, 86400, &s)) {
+        *out = (cw_ms)(s * 1000);
+    }
+}
+
 static void
 parse_times(struct cw_jobd_settings *s, const struct cw_jobj *o)
 {
-    cw_jget_ms(o, "member_ttl_ms", false, MEMBER_TTL_MIN_MS, CW_MINUTE,
-               &s->member_ttl_ms);
-    cw_jget_ms(o, "grace_ms", false, 100, CW_HOUR, &s->grace_ms);
-    cw_jget_ms(o, "lease_ms", false, 500, CW_HOUR, &s->max_lease_ms);
-    cw_jget_ms(o, "status_ms", false, CW_SECOND, CW_DAY, &s->status_ms);
-    cw_jget_ms(o, "notice_ms", false, 0, CW_HOUR, &s->notice_ms);
-    cw_jget_ms(o, "early_ms", false, 0, CW_HOUR, &s->early_ms);
-    cw_jget_ms(o, "harm_ms", false, 0, CW_HOUR, &s->harm_ms);
-    cw_jget_ms(o, "move_ms", false, 0, CW_HOUR, &s->move_ms);
-    cw_jget_ms(o, "upkeep_ms", false, 0, CW_HOUR, &s->upkeep_ms);
+    cw_jget_ms(o, "member_ttl_min_ms", false, 1, CW_MINUTE, &s->member_ttl_ms);
+    if (s->member_ttl_ms < MEMBER_TTL_MS) {
+        s->member_ttl_ms = MEMBER_TTL_MS;
+    }
+    parse_seconds(o, "grace_s", 0.1, &s->grace_ms);
+    parse_seconds(o, "status_s", 1, &s->status_ms);
+    parse_seconds(o, "move_s", 0, &s->move_ms);
+    cw_jget_ms(o, "lease_ms", false, 500, CW_HOUR, &s->lease_ms);
     cw_jget_ms(o, "vm_lease_ms", false, 0, CW_HOUR, &s->vm_lease_ms);
     cw_jget_real(o, "cores", false, 0.001, 1024, &s->cores);
-    cw_jget_real(o, "far_factor", false, 1, 1000, &s->far_factor);
 }
 
 enum cw_status
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -155,11 +155,7 @@
     static const struct cw_store_batch empty;
     struct cw_sched_limits limits = {
         .status_ms = d->settings.status_ms,
-        .lease_ms = d->settings.max_lease_ms,
-        .notice_ms = d->settings.notice_ms,
-        .early_ms = d->settings.early_ms,
-        .harm_ms = d->settings.harm_ms,
-        .far_factor = d->settings.far_factor,
+        .lease_ms = d->settings.lease_ms,
     };
 
     d->sched = calloc(1, sizeof(*d->sched));
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -302,12 +302,8 @@
 
 /* Figures that come from the platform. */
 struct cw_sched_limits {
-    cw_ms status_ms;   /* ended jobs are kept this long */
-    cw_ms lease_ms;    /* lease given to a worker */
-    cw_ms notice_ms;   /* a task counts as away after this long */
-    cw_ms early_ms;    /* occurrences may begin this much early */
-    cw_ms harm_ms;     /* tail above the target for this long is harm */
-    double far_factor; /* slow-down away from the data */
+    cw_ms status_ms; /* ended jobs are kept this long */
+    cw_ms lease_ms;  /* lease given to a worker */
 };
 
 /* A short text that outlives the scheduler, such as how far a wave is. */
--- a/tests/jobs_util.c
+++ b/tests/jobs_util.c
@@ -46,10 +46,7 @@
 
 static const struct cw_sched_ops ops = {on_start, on_stop, on_pace};
 static const struct cw_sched_limits limits = {.status_ms = 120000,
-                                              .lease_ms = JOBS_LEASE_MS,
-                                              .notice_ms = 4500,
-                                              .harm_ms = 4000,
-                                              .far_factor = 2};
+                                              .lease_ms = JOBS_LEASE_MS};
 
 void
 jobs_begin(struct jobs_fixture *f)
@@ -172,6 +169,13 @@
     return cw_sched_flush(&f->s, put, f);
 }
 
+struct cw_run_row
+jobs_at_work(struct cw_run_row r, uint32_t percent)
+{
+    r.percent = percent;
+    return r;
+}
+
 void
 jobs_commit(struct jobs_fixture *f)
 {
--- a/tests/jobs_util.h
+++ b/tests/jobs_util.h
@@ -57,6 +57,8 @@
 /* A report that lists the rows as running. */
 void jobs_report_running(struct jobs_fixture *f, struct cw_worker *w,
                          const struct cw_run_row *rows, size_t n);
+/* The row with the progress that a report gives. */
+struct cw_run_row jobs_at_work(struct cw_run_row r, uint32_t percent);
 /* Moves what is stored into a new scheduler, as after a takeover. */
 void jobs_take_over(struct jobs_fixture *f);
 
--- /dev/null
+++ b/tests/test_jobd_settings.c
@@ -0,0 +1,84 @@
+/* Guards the settings of the job service's daemon. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "cw_jobd.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define ADDRESSES                                                             \
+    "\"daemon\":\"d\",\"dc\":\"z\",\"listen\":\"10.0.0.1:1\","                \
+    "\"ready_listen\":\"10.0.0.1:2\",\"peer_listen\":\"10.0.0.1:3\","         \
+    "\"store\":\"10.0.0.2:1\""
+
+/* A daemon must not start with settings that it cannot keep, and must start
+ * with keys that it does not know. */
+static void
+test_valid(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *json;
+        enum cw_status expect;
+    } cases[] = {
+        {"{" ADDRESSES "}", CW_OK},
+        {"{" ADDRESSES ",\"tomorrow\":[1,2]}", CW_OK},
+        {"{" ADDRESSES ",\"vm_control\":\"10.0.0.3:1\"}", CW_OK},
+        {"{" ADDRESSES ",\"vm_control\":\"here\"}", CW_ERR_INVALID},
+        {"{" ADDRESSES ",\"grace_s\":\"long\"}", CW_ERR_INVALID},
+        {"{" ADDRESSES ",\"cores\":0}", CW_ERR_INVALID},
+        {"{\"daemon\":\"d\"}", CW_ERR_INVALID},
+        {"[]", CW_ERR_INVALID},
+        {"{", CW_ERR_INVALID},
+        {"", CW_ERR_INVALID},
+    };
+
+    cw_logger_setup(CW_ERROR, stderr, NULL);
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_jobd_settings s;
+        struct cw_faults faults = {0};
+
+        assert_int_equal(
+            cw_jobd_settings_parse(&s, cw_str_from(cases[i].json), &faults),
+            cases[i].expect);
+        assert_int_equal(faults.count > 0, cases[i].expect != CW_OK);
+    }
+}
+
+/* The platform states some times in seconds with a fraction: read as
+ * milliseconds they were a thousandth of what was meant. */
+static void
+test_times(void **state)
+{
+    (void)state;
+    struct cw_jobd_settings s;
+    struct cw_faults faults = {0};
+
+    assert_int_equal(
+        cw_jobd_settings_parse(&s,
+                               CW_LIT("{" ADDRESSES
+                                      ",\"grace_s\":2.5,\"status_s\":120,"
+                                      "\"move_s\":1.5,"
+                                      "\"member_ttl_min_ms\":500}"),
+                               &faults),
+        CW_OK);
+    assert_int_equal(s.grace_ms, 2500);
+    assert_int_equal(s.status_ms, 120000);
+    assert_int_equal(s.move_ms, 1500);
+    assert_int_equal(s.member_ttl_ms, 1000);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_valid),
+        cmocka_unit_test(test_times),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
