--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -109,8 +109,7 @@
     return a;
 }
 
-/* ---- orders
- * -------------------------------------------------------------------- */
+/* ---- orders ---- */
 
 static struct cw_task *
 order_task(const struct order *o)
@@ -364,8 +363,7 @@
 
 const struct cw_sched_ops cw_agent_ops = {ask_start, ask_stop, ask_pace};
 
-/* ---- reports
- * -------------------------------------------------------------------- */
+/* ---- reports ---- */
 
 static void
 report_failed(struct cw_agent *a, enum cw_status s, cw_ms now)
@@ -484,8 +482,7 @@
     }
 }
 
-/* ---- the end
- * ----------------------------------------------------------------------- */
+/* ---- the end ---- */
 
 static void
 agent_free(struct cw_agent *a)
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -14,8 +14,7 @@
 
 #include <uv.h>
 
-/* ---- settings --------------------------------------------------------------
- */
+/* ---- settings ---- */
 
 /* From one JSON file; addresses are ip:port. Unknown keys are logged and
  * ignored, so that a newer platform can add some. */
@@ -42,8 +41,7 @@
                                       struct cw_str json,
                                       struct cw_faults *faults);
 
-/* ---- calls
- * -------------------------------------------------------------------- */
+/* ---- calls ---- */
 
 enum cw_call_result {
     CW_CALL_OK,
@@ -80,8 +78,7 @@
     void *arg;
 };
 
-/* ---- the daemon
- * --------------------------------------------------------------- */
+/* ---- the daemon ---- */
 
 enum cw_jobd_role { CW_ROLE_FOLLOWER, CW_ROLE_TAKEOVER, CW_ROLE_SCHEDULER };
 
@@ -107,7 +104,6 @@
     uint64_t op_next;
     struct cw_name op_after;
     cw_ms op_retry_at;
-    cw_ms config_at;
 
     /* Membership. */
     uint64_t generation;
@@ -120,7 +116,6 @@
     bool store_ok;
     struct cw_name owner; /* peer address of the daemon that schedules */
     struct cw_name owner_logged;
-    cw_ms owner_at; /* of the last answer */
     cw_ms owner_due;
     bool owner_busy;
 
@@ -200,8 +195,7 @@
 void cw_jobd_time(struct cw_jobd *d, const char *name, const char *labels,
                   cw_ms ms);
 
-/* ---- calls.c
- * ---------------------------------------------------------------- */
+/* ---- calls.c ---- */
 
 /* Takes a call on: here, or at the daemon that schedules. */
 void cw_calls_dispatch(struct cw_jobd *d, struct cw_call *c);
@@ -216,21 +210,18 @@
 void cw_calls_push(struct cw_call **list, struct cw_call *c);
 void cw_calls_unlink(struct cw_call *c);
 
-/* ---- forward.c
- * ---------------------------------------------------------------- */
+/* ---- forward.c ---- */
 
 enum cw_status cw_jobd_peers_init(struct cw_jobd *d);
 void cw_forward_call(struct cw_jobd *d, struct cw_call *c);
 void cw_forward_owner_tick(struct cw_jobd *d, cw_ms now);
 
-/* ---- front.c
- * -------------------------------------------------------------------- */
+/* ---- front.c ---- */
 
 enum cw_status cw_jobd_front_init(struct cw_jobd *d);
 bool cw_jobd_is_ready(const struct cw_jobd *d);
 
-/* ---- member.c
- * -------------------------------------------------------------------- */
+/* ---- member.c ---- */
 
 void cw_member_tick(struct cw_jobd *d, cw_ms now);
 void cw_member_leave(struct cw_jobd *d);
@@ -240,8 +231,7 @@
  * be given. */
 bool cw_member_certain(const struct cw_jobd *d, cw_ms now);
 
-/* ---- commit.c
- * ---------------------------------------------------------------------- */
+/* ---- commit.c ---- */
 
 /* Plans and writes what has changed, soon. */
 void cw_commit_wake(struct cw_jobd *d);
@@ -250,14 +240,12 @@
 bool cw_commit_healthy(const struct cw_jobd *d, cw_ms now);
 enum cw_status cw_commit_init(struct cw_jobd *d);
 
-/* ---- watch.c
- * ------------------------------------------------------------------------ */
+/* ---- watch.c ---- */
 
 void cw_watch_operators(struct cw_jobd *d, cw_ms now);
 void cw_watch_workers(struct cw_jobd *d, cw_ms now);
 
-/* ---- agents.c
- * ------------------------------------------------------------------------ */
+/* ---- agents.c ---- */
 
 extern const struct cw_sched_ops cw_agent_ops;
 void cw_agents_tick(struct cw_jobd *d, cw_ms now);
@@ -265,9 +253,7 @@
 /* The worker goes away. */
 void cw_agent_drop(void *ctx, struct cw_worker *w);
 
-/* ---- fleet.c
- * ---------------------------------------------------------------------------
- */
+/* ---- fleet.c ---- */
 
 void cw_fleet_open(struct cw_jobd *d);
 void cw_fleet_close(struct cw_jobd *d);
--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -58,8 +58,7 @@
     d->fleet = NULL;
 }
 
-/* ---- the list
- * ------------------------------------------------------------------ */
+/* ---- the list ---- */
 
 struct fleet_vm *
 cw_fleet_vm(struct cw_fleet *f, const struct cw_name *name)
@@ -147,8 +146,7 @@
                         LIST_TIMEOUT_MS, on_list, cw_ticket_make(d));
 }
 
-/* ---- orders
- * ---------------------------------------------------------------------- */
+/* ---- orders ---- */
 
 struct vm_call {
     void *ticket;
@@ -267,8 +265,7 @@
     }
 }
 
-/* ---- what the decisions look at
- * ------------------------------------------------ */
+/* ---- what the decisions look at ---- */
 
 static const struct cw_service_entry *
 service_of(const struct cw_jobd *d, const struct cw_name *pool)
--- a/packages/jobd/fleet_waves.c
+++ b/packages/jobd/fleet_waves.c
@@ -143,7 +143,7 @@
                    (unsigned long long)t->job->id, t->occurrence, t->step,
                    t->index, v->worker->id.text, v->name.text,
                    cw_step_away(t, now), cw_task_step(t)->may_miss, why);
-            cw_sched_stop_task(d->sched, t, true, now);
+            cw_sched_stop_task(d->sched, t, now);
         }
         t = next;
     }
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -23,7 +23,7 @@
 #define OWNER_SOON_MS 100
 #define STORE_TIMEOUT_MS 900
 /* Takeovers that one generation of the group has room for. */
-#define CW_EPOCHS_PER_GENERATION 1000
+#define EPOCHS_PER_GENERATION 1000
 /* A takeover that failed starts again after this. */
 #define TAKEOVER_RETRY_MS 200
 
@@ -41,8 +41,8 @@
     if (d->role == CW_ROLE_FOLLOWER) {
         return;
     }
-    cw_log(CW_WARN, "scheduler_end", "epoch=%llu reason=%s ms=%lld",
-           (unsigned long long)d->epoch, why,
+    cw_log(d->stopping ? CW_INFO : CW_WARN, "scheduler_end",
+           "epoch=%llu reason=%s ms=%lld", (unsigned long long)d->epoch, why,
            (long long)(cw_jobd_now(d) - d->role_at));
     d->life++;
     d->role = CW_ROLE_FOLLOWER;
@@ -64,8 +64,7 @@
     d->load_after.len = 0;
 }
 
-/* ---- takeover
- * --------------------------------------------------------------- */
+/* ---- takeover ---- */
 
 static void
 takeover_failed(struct cw_jobd *d, const char *what, enum cw_status s)
@@ -171,7 +170,7 @@
     }
     /* A daemon may take over more than once in a generation, also after a
      * restart that the group did not notice. */
-    d->epoch = d->generation * CW_EPOCHS_PER_GENERATION + d->attempt;
+    d->epoch = d->generation * EPOCHS_PER_GENERATION + d->attempt;
     d->attempt++;
     d->sequence = 0;
     cw_sched_init(d->sched, &limits, &cw_agent_ops, d);
@@ -182,8 +181,7 @@
                           STORE_TIMEOUT_MS, on_fenced, cw_ticket_make(d));
 }
 
-/* ---- membership
- * ----------------------------------------------------------------- */
+/* ---- membership ---- */
 
 static void
 note_store(struct cw_jobd *d, bool ok, enum cw_status s)
@@ -314,7 +312,6 @@
         d->owner_logged = d->owner;
     }
     consider_joining(d, members, now);
-    d->owner_at = now;
     d->owner_due = now + (same ? OWNER_EVERY_MS : OWNER_SOON_MS);
 }
 
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -45,8 +45,7 @@
     return best;
 }
 
-/* ---- operators
- * --------------------------------------------------------------- */
+/* ---- operators ---- */
 
 static void
 take_config(struct cw_jobd *d, struct cw_str value)
@@ -68,7 +67,6 @@
            c.service_count);
     cw_fleet_config_finish(&d->config);
     d->config = c;
-    d->config_at = cw_jobd_now(d);
 }
 
 static void
@@ -170,8 +168,7 @@
     }
 }
 
-/* ---- workers
- * -------------------------------------------------------------------- */
+/* ---- workers ---- */
 
 static void
 take_worker(struct cw_jobd *d, const struct cw_store_record *r, cw_ms now)
--- a/packages/jobs/cw_fleet.h
+++ b/packages/jobs/cw_fleet.h
@@ -5,7 +5,7 @@
 
 #include "cw_jobs.h"
 
-/* ---- demand over time --------------------------------------------------- */
+/* ---- demand over time ---- */
 
 #define CW_CURVE_SLOT_MS 250
 #define CW_CURVE_SLOTS 512 /* 128 s of history */
@@ -34,8 +34,7 @@
 double cw_curve_forecast(const struct cw_demand_curve *c, cw_ms now,
                          cw_ms period, cw_ms ahead_ms, cw_ms window_ms);
 
-/* ---- VMs between pools -----------------------------------------------------
- */
+/* ---- VMs between pools ---- */
 
 /* A pool as the decision on moves sees it. */
 struct cw_pool_view {
@@ -78,8 +77,7 @@
 size_t cw_fleet_transfers(const struct cw_pool_view *pools, size_t n,
                           struct cw_vm_transfer *out);
 
-/* ---- waves
- * ------------------------------------------------------------------- */
+/* ---- waves ---- */
 
 /* A VM of a wave as the decision sees it. */
 struct cw_upkeep_vm {
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -13,7 +13,7 @@
 #include "cuminwalk.h"
 #include "cw_map.h"
 
-/* ---- limits of a job ------------------------------------------------- */
+/* ---- limits of a job ---- */
 
 #define CW_JOB_SPEC_MAX 4096   /* bytes of the text that goes to each task */
 #define CW_JOB_STEPS_MAX 64    /* steps; a bit each in a mask */
@@ -21,7 +21,7 @@
 #define CW_LABELS_MAX 8        /* labels kept of a worker */
 #define CW_CHECKPOINT_MAX 47   /* bytes of a checkpoint reference */
 
-/* ---- what a caller asks for ------------------------------------------- */
+/* ---- what a caller asks for ---- */
 
 struct cw_demand_res {
     uint32_t cpu_milli;
@@ -83,7 +83,7 @@
 /* Tasks of one occurrence. */
 uint32_t cw_job_spec_width(const struct cw_job_spec *s);
 
-/* ---- state ------------------------------------------------------------- */
+/* ---- state ---- */
 
 enum cw_job_state {
     CW_JOB_QUEUED,
@@ -110,8 +110,7 @@
     uint32_t index; /* in its step */
     uint16_t step;
     uint8_t state;
-    bool restart_ok; /* after the stop it waits again, else it is settled */
-    bool at_work;    /* a lasting task whose start-up is over */
+    bool at_work; /* a lasting task whose start-up is over */
     uint32_t run;
     uint32_t failures;
     struct cw_worker *worker;
@@ -123,8 +122,6 @@
     cw_ms stop_answered_at; /* the worker took note of a stop; 0: not yet */
     uint32_t report;        /* of the worker, that listed it last */
     cw_ms ready_at;
-    cw_ms away_at;        /* a lasting task: not at work since */
-    cw_ms over_at;        /* tail above its target since; 0: not */
     uint32_t figure;      /* tail in ms or processor use, from the worker */
     uint8_t pace;         /* percent that the worker was told */
     struct cw_name avoid; /* worker of the last failure */
@@ -184,7 +181,6 @@
     bool cordoned;   /* takes no new tasks: upkeep or move ahead */
     bool reserved;   /* during one plan: kept free for a waiting task */
     bool contacted;  /* answered a report since this scheduler began */
-    bool fails;      /* judged to fail what it starts */
     cw_ms seen_at;
     cw_ms gone_at;
     cw_ms listed;      /* its entry was seen then */
@@ -345,8 +341,7 @@
                    const struct cw_sched_ops *ops, void *ctx);
 void cw_sched_finish(struct cw_sched *s);
 
-/* ---- jobs.c: commands ----------------------------------------------------
- */
+/* ---- jobs.c: commands ---- */
 
 struct cw_job_run *cw_sched_job(const struct cw_sched *s, uint64_t id);
 /* Takes a job in; spec is moved out of the argument. CW_ERR_CONFLICT when the
@@ -363,7 +358,7 @@
 /* Forgets ended jobs after status_ms. Their records are dropped. */
 void cw_sched_sweep(struct cw_sched *s, cw_ms now);
 
-/* ---- jobs_query.c ------------------------------------------------------- */
+/* ---- jobs_query.c ---- */
 
 /* The state that callers may see: only what is durable. */
 enum cw_job_state cw_job_shown(const struct cw_sched *s,
@@ -385,8 +380,7 @@
 /* No rule on absences forbids to end this task now. */
 bool cw_task_may_stop(const struct cw_task *t, cw_ms now);
 
-/* ---- jobs_record.c -------------------------------------------------------
- */
+/* ---- jobs_record.c ---- */
 
 /* Keys of a job's two records. */
 #define CW_JOB_KEY_LEN 17
@@ -415,8 +409,7 @@
 /* Empty when there is none. */
 struct cw_str cw_sched_note(const struct cw_sched *s, struct cw_str key);
 
-/* ---- jobs_worker.c: what workers tell ------------------------------------
- */
+/* ---- jobs_worker.c: what workers tell ---- */
 
 struct cw_pool *cw_sched_pool(struct cw_sched *s, struct cw_str service);
 struct cw_worker *cw_sched_worker(const struct cw_sched *s, struct cw_str id);
@@ -450,9 +443,9 @@
                         cw_ms now);
 /* Lets leases that passed take effect. */
 void cw_sched_leases(struct cw_sched *s, cw_ms now);
-/* Ends a task by our own decision; it waits again when restart is true. */
-void cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, bool restart,
-                        cw_ms now);
+/* Ends a run by our own decision; the task waits again, unless its job has
+ * ended. */
+void cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, cw_ms now);
 /* Names a task's current run. */
 struct cw_run_row cw_task_row(const struct cw_task *t);
 /* No listener at the worker's address: a worker that has left the list is
@@ -460,7 +453,7 @@
 void cw_sched_worker_refused(struct cw_sched *s, struct cw_worker *w,
                              cw_ms now);
 
-/* ---- jobs_times.c ------------------------------------------------------- */
+/* ---- jobs_times.c ---- */
 
 /* The entry of a queue; NULL when there are too many. */
 struct cw_queue_times *cw_pool_times(struct cw_pool *p,
@@ -477,8 +470,7 @@
 /* Time from hand-in or due time in which the job earns its full credit. */
 cw_ms cw_job_objective_ms(const struct cw_job_run *j);
 
-/* ---- jobs_plan.c ---------------------------------------------------------
- */
+/* ---- jobs_plan.c ---- */
 
 /* Places tasks that may start. */
 void cw_sched_plan(struct cw_sched *s, cw_ms now);
@@ -500,8 +492,7 @@
 struct cw_pool_load cw_pool_load(const struct cw_sched *s,
                                  const struct cw_pool *p, cw_ms now);
 
-/* ---- jobs_pace.c ----------------------------------------------------------
- */
+/* ---- jobs_pace.c ---- */
 
 /* Slows backfill tasks beside tasks whose tail is above their target. */
 void cw_sched_pace(struct cw_sched *s, cw_ms now);
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -205,8 +205,7 @@
     }
 }
 
-/* ---- waves -----------------------------------------------------------------
- */
+/* ---- waves ---- */
 
 /* VMs cleared at a time while the wave is in time, at least and as a share of
  * its VMs, and the share of the duration by which all should be done. */
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -80,8 +80,7 @@
     return CW_OK;
 }
 
-/* ---- the table ------------------------------------------------------------
- */
+/* ---- the table ---- */
 
 void
 cw_sched_init(struct cw_sched *s, const struct cw_sched_limits *limits,
@@ -226,13 +225,11 @@
                 t->step = (uint16_t)i;
                 t->index = x;
                 t->pace = 100;
-                t->restart_ok = true;
                 t->ready_at = j->accepted;
                 if (s->first_wall != 0) {
                     t->ready_at += s->first_wall - s->accepted_wall +
                                    (cw_ms)k * s->interval_ms;
                 }
-                t->away_at = j->accepted;
             }
             j->lasting |= s->steps[i].lasting;
         }
@@ -374,10 +371,7 @@
         struct cw_task *t = &j->tasks[i];
 
         if (t->state == CW_RUN_ORDERED || t->state == CW_RUN_RUNNING) {
-            cw_sched_stop_task(s, t, false, now);
-        }
-        else if (t->state == CW_RUN_STOPPING) {
-            t->restart_ok = false;
+            cw_sched_stop_task(s, t, now);
         }
     }
     s->plan_due = true;
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -107,8 +107,7 @@
     return n;
 }
 
-/* ---- the choice of a worker
- * ------------------------------------------------------- */
+/* ---- the choice of a worker ---- */
 
 static bool
 has_label(const struct cw_worker *w, const struct cw_name *label)
@@ -246,8 +245,7 @@
     return best;
 }
 
-/* ---- starts
- * ------------------------------------------------------------------------- */
+/* ---- starts ---- */
 
 static void
 order_start(struct cw_sched *s, struct cw_task *t, struct cw_worker *w,
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -352,8 +352,7 @@
     return s->batch++;
 }
 
-/* ---- loading ---------------------------------------------------------------
- */
+/* ---- loading ---- */
 
 static void
 load_task(struct cw_sched *s, struct cw_job_run *j,
@@ -384,7 +383,6 @@
         cw_task_place(s, t, w, now);
         t->state = r->state;
         t->order_batch = 0;
-        t->restart_ok = true;
     }
 }
 
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -13,8 +13,7 @@
 #define QUARANTINE_AFTER 3
 #define QUARANTINE_PROBE_MS 1500
 
-/* ---- ends
- * ---------------------------------------------------------------------- */
+/* ---- ends ---- */
 
 static bool
 job_done(const struct cw_job_run *j)
@@ -218,8 +217,7 @@
     }
 }
 
-/* ---- reports
- * ---------------------------------------------------------------------- */
+/* ---- reports ---- */
 
 /* Percent at which a lasting task is past its start-up. */
 #define AT_WORK_PERCENT 100
@@ -351,7 +349,7 @@
         if (o != t && o->occurrence == t->occurrence && o->step == t->step &&
             o->run == t->run &&
             (o->state == CW_RUN_ORDERED || o->state == CW_RUN_RUNNING)) {
-            cw_sched_stop_task(s, o, true, now);
+            cw_sched_stop_task(s, o, now);
         }
     }
 }
@@ -390,7 +388,7 @@
     else if (a != CW_START_OLD) {
         /* The earlier send may still be carried out: the stop makes the
          * worker reject it. */
-        cw_sched_stop_task(s, t, true, now);
+        cw_sched_stop_task(s, t, now);
     }
     /* Otherwise the earlier send was carried out and the run has ended: the
      * report lists its end. */
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -88,8 +88,7 @@
     return w;
 }
 
-/* ---- tasks on a worker
- * ------------------------------------------------------ */
+/* ---- tasks on a worker ---- */
 
 void
 cw_task_place(struct cw_sched *s, struct cw_task *t, struct cw_worker *w,
@@ -151,7 +150,6 @@
         w->idle_at = now;
     }
     t->pace = 100;
-    t->over_at = 0;
     t->figure = 0;
     t->stop_answered_at = 0;
     s->plan_due = true;
@@ -175,11 +173,7 @@
     t->state = CW_RUN_WAITING;
     t->since = now;
     t->ready_at = now;
-    if (t->at_work) {
-        t->at_work = false;
-        t->away_at = now;
-    }
-    t->restart_ok = true;
+    t->at_work = false;
     cw_job_touch(s, t->job);
     cw_job_settle(s, t->job);
 }
@@ -198,13 +192,11 @@
 }
 
 void
-cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, bool restart,
-                   cw_ms now)
+cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, cw_ms now)
 {
     struct cw_run_row row = cw_task_row(t);
 
     if (t->worker == NULL || t->state == CW_RUN_STOPPING) {
-        t->restart_ok &= restart;
         return;
     }
     if (t->state == CW_RUN_ORDERED && t->order_batch > s->committed) {
@@ -215,13 +207,9 @@
         return;
     }
     t->state = CW_RUN_STOPPING;
-    t->restart_ok = restart;
     t->since = now;
     t->stop_answered_at = 0;
-    if (t->at_work) {
-        t->at_work = false;
-        t->away_at = now;
-    }
+    t->at_work = false;
     cw_job_touch(s, t->job);
     s->ops->stop(s->ctx, t->worker, &row);
 }
@@ -239,8 +227,7 @@
     }
 }
 
-/* ---- leases
- * ------------------------------------------------------------------------ */
+/* ---- leases ---- */
 
 int64_t
 cw_worker_lease(struct cw_sched *s, struct cw_worker *w, bool renew, cw_ms now)
@@ -310,8 +297,7 @@
     w->born_wall = born;
 }
 
-/* ---- the list
- * ---------------------------------------------------------------------- */
+/* ---- the list ---- */
 
 static void
 take_entry(struct cw_worker *w, const struct cw_worker_entry *e)
@@ -336,7 +322,7 @@
         struct cw_task *next = t->next;
 
         if (cw_task_step(t)->lasting) {
-            cw_sched_stop_task(s, t, true, now);
+            cw_sched_stop_task(s, t, now);
         }
         t = next;
     }
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -104,8 +104,7 @@
     fake_put(f, CW_STREAM_WORKERS, w->id, value);
 }
 
-/* ---- answers -------------------------------------------------------------
- */
+/* ---- answers ---- */
 
 static void
 on_freed(uv_handle_t *h)
@@ -252,8 +251,7 @@
     return a;
 }
 
-/* ---- the store
- * ---------------------------------------------------------------- */
+/* ---- the store ---- */
 
 static void
 batch_add(void *ctx, struct cw_store_batch *b, struct cw_str key,
@@ -431,8 +429,7 @@
     }
 }
 
-/* ---- workers
- * -------------------------------------------------------------------- */
+/* ---- workers ---- */
 
 static struct cw_worker_conn *
 conn_open(void *ctx, const struct cw_name *id, const struct cw_name *address)
