--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -125,7 +125,7 @@
 give_page(struct answer *a)
 {
     struct fake_platform *f = a->f;
-    struct cw_store_record rows[FAKE_RECORDS_MAX];
+    struct cw_store_record rows[FAKE_RECORDS_MAX] = {0};
     struct cw_store_page page = {.records = rows, .next = a->number};
 
     for (size_t i = 0; a->holds && i < f->record_count; i++) {
@@ -143,8 +143,8 @@
 give_report(struct answer *a)
 {
     struct fake_worker *w = a->worker;
-    struct cw_run_row running[FAKE_RUNS_MAX];
-    struct cw_end_row ended[FAKE_RUNS_MAX];
+    struct cw_run_row running[FAKE_RUNS_MAX] = {0};
+    struct cw_end_row ended[FAKE_RUNS_MAX] = {0};
     struct cw_run_report r = {.born_wall = 1, .clock_ms = now_of(a->f)};
 
     for (size_t i = 0; i < w->run_count; i++) {
