Demand: rate over more jobs, and no arrivals from a takeover

After the takeover at 4.2 s the 345 loaded jobs counted as arrived in that instant: three pools wanted 2,559 VMs.

Change: the window of the rate grows from 0.5 to 1.5 s until it has 16 jobs; only accepted submissions count as arrivals.

--- a/packages/jobd/fleet_moves.c
+++ b/packages/jobd/fleet_moves.c
@@ -9,8 +9,10 @@
  * cost as much as two seconds of a VM in a pool, and moving a VM in from a
  * spare pool takes no longer than from another pool. */
 #define IDLE_OFF_MS 1000
-/* Averaging window of the rate of arriving work. */
+/* Averaging window of the rate of arriving work, and its limit for queues with
+ * few jobs. */
 #define RATE_WINDOW_MS 500
+#define RATE_WINDOW_MAX_MS 1500
 /* Time from the end of a move until the first contact with the worker. */
 #define MOVE_MARGIN_MS 700
 /* Length of the forecast; it starts when a VM moved now can accept tasks. */
@@ -175,7 +177,8 @@
     double forecast =
         cw_curve_forecast(&c->curve, now, f->demand_period,
                           d->settings.move_ms + MOVE_MARGIN_MS, FORECAST_MS);
-    double rate = cw_curve_rate(&c->curve, now, RATE_WINDOW_MS);
+    double rate = cw_curve_rate(&c->curve, now, RATE_WINDOW_MS,
+                                RATE_WINDOW_MAX_MS);
     struct cw_pool_load load;
     uint64_t batch_cpu;
 
--- a/packages/jobs/cw_fleet.h
+++ b/packages/jobs/cw_fleet.h
@@ -23,9 +23,10 @@
 void cw_curve_add(struct cw_demand_curve *c, cw_ms now, double work,
                   uint32_t jobs);
 /* Mean rate of arriving work in thousandths of a core over window_ms up to
- * now; 0 when too few jobs arrived for a meaningful rate. */
+ * now, or over up to window_max_ms while few jobs arrived; 0 when too few
+ * arrived for a meaningful rate. */
 double cw_curve_rate(const struct cw_demand_curve *c, cw_ms now,
-                     cw_ms window_ms);
+                     cw_ms window_ms, cw_ms window_max_ms);
 /* The period with which the demand of all curves repeats, or 0 when the
  * history shows none clearly. */
 cw_ms cw_curve_period(const struct cw_demand_curve *const *curves, size_t n,
--- a/packages/jobs/fleet_demand.c
+++ b/packages/jobs/fleet_demand.c
@@ -4,9 +4,10 @@
 
 #include <math.h>
 
-/* Jobs in the window that make a rate: a single large one would look like a
- * burst. */
+/* Jobs in a window that make a rate: single large ones would look like a
+ * burst. The window grows until it has RATE_JOBS of them. */
 #define RATE_JOBS_MIN 4
+#define RATE_JOBS 16
 /* Range of the periods that are searched. */
 #define PERIOD_MIN_MS 6000
 #define PERIOD_MAX_MS 30000
@@ -70,19 +71,24 @@
 }
 
 double
-cw_curve_rate(const struct cw_demand_curve *c, cw_ms now, cw_ms window_ms)
+cw_curve_rate(const struct cw_demand_curve *c, cw_ms now, cw_ms window_ms,
+              cw_ms window_max_ms)
 {
     int64_t last = now / CW_CURVE_SLOT_MS;
-    int64_t n = window_ms / CW_CURVE_SLOT_MS;
-    /* The latest slot is not complete yet. */
-    double ms = (double)((n - 1) * CW_CURVE_SLOT_MS + now % CW_CURVE_SLOT_MS);
+    int64_t min = window_ms / CW_CURVE_SLOT_MS;
+    int64_t max = window_max_ms / CW_CURVE_SLOT_MS;
+    int64_t n = 0;
     double sum = 0;
+    double ms;
     uint32_t jobs = 0;
 
-    for (int64_t i = 0; i < n; i++) {
-        sum += slot_work(c, last - i);
-        jobs += is_known(c, last - i) ? c->jobs[slot_index(last - i)] : 0;
+    while (n < min || (n < max && jobs < RATE_JOBS)) {
+        sum += slot_work(c, last - n);
+        jobs += is_known(c, last - n) ? c->jobs[slot_index(last - n)] : 0;
+        n++;
     }
+    /* The latest slot is not complete yet. */
+    ms = (double)((n - 1) * CW_CURVE_SLOT_MS + now % CW_CURVE_SLOT_MS);
     return ms <= 0 || jobs < RATE_JOBS_MIN ? 0 : sum / ms;
 }
 
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -293,8 +293,6 @@
     }
     pool_add_job(p, j);
     j->times = cw_pool_queue_times(p, &j->queue);
-    p->arrived_cpu_ms += spec_cpu_ms(&j->spec);
-    p->arrived_jobs += j->lasting ? 0 : 1;
     table_insert(s, j);
     return j;
 }
@@ -335,6 +333,10 @@
     j->spec_dirty = true;
     j->state_batch = s->batch;
     cw_job_mark_dirty(s, j);
+    /* Jobs that a takeover loads have arrived earlier: they are no demand that
+     * the next seconds repeat. */
+    j->pool->arrived_cpu_ms += spec_cpu_ms(&j->spec);
+    j->pool->arrived_jobs += j->lasting ? 0 : 1;
     cw_pool_plan_soon(s, j->pool);
     return CW_OK;
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -273,11 +273,11 @@
     for (cw_ms now = 0; now < 10000; now += 50) {
         cw_curve_add(&c, now, 10.0 * 50, 1);
     }
-    assert_true(cw_curve_rate(&c, 9999, 500) < 15);
+    assert_true(cw_curve_rate(&c, 9999, 500, 500) < 15);
     for (cw_ms now = 10000; now < 10500; now += 50) {
         cw_curve_add(&c, now, 250.0 * 50, 1);
     }
-    assert_true(cw_curve_rate(&c, 10499, 500) > 200);
+    assert_true(cw_curve_rate(&c, 10499, 500, 500) > 200);
 }
 
 /* A single large job is no rate. One large job in half a second counted as a
@@ -291,11 +291,51 @@
 
     memset(&c, 0, sizeof(c));
     cw_curve_add(&c, 9800, 400000.0 * 1000, 1);
-    assert_true(cw_curve_rate(&c, 10000, 500) == 0);
+    assert_true(cw_curve_rate(&c, 10000, 500, 500) == 0);
     for (int i = 0; i < 4; i++) {
         cw_curve_add(&c, 9900, 8000.0 * 1000, 1);
     }
-    assert_true(cw_curve_rate(&c, 10000, 500) > 0);
+    assert_true(cw_curve_rate(&c, 10000, 500, 500) > 0);
+}
+
+/* A queue with few jobs of very different sizes: 10 jobs a second of 160 cores
+ * in the mean, three of them large and in one half second. Over half a second
+ * they looked like 5,000 cores, and 300 VMs too many left the pools whose
+ * peak came next. Many jobs are a rate at once. */
+static void
+test_rate_of_few_large_jobs(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *name;
+        cw_ms interval;    /* between small jobs */
+        double small_work; /* thousandths of a core x s */
+        double large_work; /* of three jobs in the last half second */
+        double at_least;   /* thousandths of a core */
+        double at_most;
+    } cases[] = {
+        {"few jobs", 100, 100000, 640000, 1000000, 2500000},
+        {"steady", 100, 160000, 160000, 1200000, 2500000},
+        {"many jobs", 5, 10000, 10000, 1800000, 2500000},
+    };
+
+    for (size_t k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
+        static struct cw_demand_curve c;
+        double rate;
+
+        memset(&c, 0, sizeof(c));
+        for (cw_ms now = 0; now < 10000; now += cases[k].interval) {
+            cw_curve_add(&c, now, cases[k].small_work * 1000, 1);
+        }
+        for (int i = 0; i < 3; i++) {
+            cw_curve_add(&c, 9700, cases[k].large_work * 1000, 1);
+        }
+        rate = cw_curve_rate(&c, 9999, 500, 1500);
+        if (rate < cases[k].at_least || rate > cases[k].at_most) {
+            fail_msg("%s: rate %.0f is not in %.0f..%.0f", cases[k].name, rate,
+                     cases[k].at_least, cases[k].at_most);
+        }
+    }
 }
 
 /* No more VMs of a wave are down than its limit, idle ones are maintained
@@ -340,6 +380,7 @@
         cmocka_unit_test(test_period),
         cmocka_unit_test(test_rate_follows),
         cmocka_unit_test(test_large_job_is_no_rate),
+        cmocka_unit_test(test_rate_of_few_large_jobs),
         cmocka_unit_test(test_maintenance_wave),
     };
 
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -296,6 +296,31 @@
     assert_int_equal(cw_sched_kv_get(&f.s, CW_LIT("w1")).len, 0);
 }
 
+/* Jobs that a takeover loads are no new demand: counted as arrivals, 345 of
+ * them made three pools ask for 2,500 VMs in the first second. */
+static void
+test_loaded_jobs_are_no_arrivals(void **state)
+{
+    (void)state;
+    struct cw_pool *p;
+    struct cw_job_spec spec;
+
+    for (uint64_t id = 1; id <= 5; id++) {
+        spec = jobs_spec(id, 4, 1000);
+        assert_non_null(jobs_accept(&f, &spec));
+    }
+    jobs_commit(&f);
+    p = cw_sched_get_pool(&f.s, CW_LIT(JOBS_SERVICE));
+    assert_int_equal(p->arrived_jobs, 5);
+    jobs_take_over(&f);
+    p = cw_sched_get_pool(&f.s, CW_LIT(JOBS_SERVICE));
+    assert_int_equal(p->arrived_jobs, 0);
+    assert_int_equal(p->arrived_cpu_ms, 0);
+    spec = jobs_spec(6, 4, 1000);
+    assert_non_null(jobs_accept(&f, &spec));
+    assert_int_equal(p->arrived_jobs, 1);
+}
+
 /* Records that cannot be decoded are rejected as a whole. */
 static void
 test_bad_records(void **state)
@@ -339,6 +364,8 @@
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_kv, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_loaded_jobs_are_no_arrivals,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_bad_records, setup, teardown),
     };
 
