Daemons learn the scheduler and new configurations from its probe answers

Cause: each daemon asked the store every 500 ms who schedules and read the configuration with waits of 1 s, 441 calls a second from 147 daemons, and a daemon that the store turned away did not learn the next scheduler although it could be reached.

Change: a follower probes the connected scheduler once a second. The answer says whether the sender schedules with a valid membership, and the version of its configuration. While it is confirmed, the store is asked every 8 to 12 s only (the size of the group), and the read of the operators' records waits 10 s; a newer version in an answer starts another read at once. A scheduler that steps down tells all connected daemons. While the store does not answer, the remembered members of the group are asked in turn; calls are sent only to a daemon that has said that it schedules.

--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -71,7 +71,8 @@
 static bool
 scheduler_reachable(const struct cw_jobd *d)
 {
-    return d->scheduler.len > 0 && d->scheduler_conn_open;
+    return d->scheduler.len > 0 && d->scheduler_conn_open &&
+           !d->scheduler_unproved;
 }
 
 void
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -80,6 +80,8 @@
 
 /* ---- the daemon ---- */
 
+#define CW_MEMBERS_MAX 8 /* members of the group that a daemon remembers */
+
 enum cw_jobd_role { CW_ROLE_FOLLOWER, CW_ROLE_TAKEOVER, CW_ROLE_SCHEDULER };
 
 struct cw_agent;
@@ -104,6 +106,8 @@
     uint64_t operators_next_offset;
     struct cw_name operators_after_key; /* last key of the pages loaded */
     cw_ms operators_retry_at;
+    uint64_t operators_read; /* number of the latest read */
+    cw_ms operators_read_at;
 
     /* Membership. */
     uint64_t generation;
@@ -118,6 +122,17 @@
     struct cw_name scheduler_logged;
     cw_ms scheduler_query_due;
     bool scheduler_query_open;
+    /* Its address is a guess, or it has denied its role: no calls are sent to
+     * it. */
+    bool scheduler_unproved;
+    /* The scheduler confirmed its role on the open connection, with a valid
+     * membership; 0: not yet. */
+    cw_ms scheduler_confirmed_at;
+    /* Members of the group in the store's last answer, which are asked who
+     * schedules while the store does not answer. */
+    struct cw_name members[CW_MEMBERS_MAX];
+    uint32_t member_count;
+    uint32_t member_next;
 
     /* Scheduling. */
     enum cw_jobd_role role;
@@ -155,6 +170,7 @@
     struct cw_name scheduler_conn_address;
     bool scheduler_conn_open;
     cw_ms scheduler_conn_at;      /* last connect or close */
+    cw_ms scheduler_probe_at;     /* last probe sent */
     cw_ms scheduler_heard_at;     /* last frame from it, or first call sent */
     cw_ms scheduler_reachable_at; /* connected, or this daemon scheduled */
     uint64_t last_stream;
@@ -223,6 +239,11 @@
 enum cw_status cw_jobd_peers_init(struct cw_jobd *d);
 void cw_forward_call(struct cw_jobd *d, struct cw_call *c);
 void cw_forward_scheduler_tick(struct cw_jobd *d, cw_ms now);
+/* Tells the connected daemons that this one no longer schedules. */
+void cw_forward_role_ended(struct cw_jobd *d);
+/* The connected scheduler has confirmed its role recently, so that the store
+ * need not be asked who schedules. */
+bool cw_forward_confirmed(const struct cw_jobd *d, cw_ms now);
 
 /* ---- jobd_front.c ---- */
 
@@ -251,6 +272,8 @@
 /* ---- watch.c ---- */
 
 void cw_watch_operators(struct cw_jobd *d, cw_ms now);
+/* Reads again at once: a record is missing although a read waits for it. */
+void cw_watch_operators_again(struct cw_jobd *d);
 void cw_watch_workers(struct cw_jobd *d, cw_ms now);
 
 /* ---- agents.c ---- */
--- a/packages/jobd/fleet_moves.c
+++ b/packages/jobd/fleet_moves.c
@@ -177,8 +177,8 @@
     double forecast =
         cw_curve_forecast(&c->curve, now, f->demand_period,
                           d->settings.move_ms + MOVE_MARGIN_MS, FORECAST_MS);
-    double rate = cw_curve_rate(&c->curve, now, RATE_WINDOW_MS,
-                                RATE_WINDOW_MAX_MS);
+    double rate =
+        cw_curve_rate(&c->curve, now, RATE_WINDOW_MS, RATE_WINDOW_MAX_MS);
     struct cw_pool_load load;
     uint64_t batch_cpu;
 
--- a/packages/jobd/forward.c
+++ b/packages/jobd/forward.c
@@ -13,8 +13,13 @@
 #define CONNECT_TIMEOUT_MS 800
 /* Delay between connection attempts. */
 #define RECONNECT_DELAY_MS 100
-/* JobCall.kind of a probe on a connection on which calls wait. */
+/* JobCall.kind of a probe, whose answer has the stream 0. It shows that the
+ * connection works and whether the receiver still schedules. */
 #define KIND_PING 100
+/* Time between probes, and the age up to which an answer counts. Few enough
+ * that some hundred daemons cost the scheduler little. */
+#define PROBE_INTERVAL_MS 1000
+#define CONFIRMED_MAX_MS 2500
 
 /* A call that another daemon forwarded. */
 struct incoming_call {
@@ -34,18 +39,102 @@
     Cuminwalk__JobAnswer m = CUMINWALK__JOB_ANSWER__INIT;
 
     m.stream = stream;
-    if (c != NULL) {
-        m.result = c->result;
-        m.state = c->state;
-        m.waiting = c->waiting;
-        m.retry_after_ms = (uint32_t)c->retry_after_ms;
-        m.reason = (char *)(c->reason == NULL ? "" : c->reason);
+    m.result = c->result;
+    m.state = c->state;
+    m.waiting = c->waiting;
+    m.retry_after_ms = (uint32_t)c->retry_after_ms;
+    m.reason = (char *)(c->reason == NULL ? "" : c->reason);
+    env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_ANSWER;
+    env.job_answer = &m;
+    (void)cw_peer_conn_send(conn, &env);
+}
+
+static void
+fill_probe_answer(const struct cw_jobd *d, Cuminwalk__JobAnswer *m, cw_ms now)
+{
+    m->result = CW_RESULT_NOT_SCHEDULER;
+    if (d->role == CW_ROLE_SCHEDULER) {
+        /* Without the store another daemon may schedule already. */
+        m->result =
+            cw_member_lease_valid(d, now) ? CW_RESULT_OK : CW_RESULT_UNKNOWN;
+    }
+    else if (cw_forward_confirmed(d, now)) {
+        m->scheduler = (char *)d->scheduler.text;
     }
+    m->config_version = d->config.version;
+}
+
+static void
+answer_probe(const struct cw_jobd *d, struct cw_peer_conn *conn, cw_ms now)
+{
+    Cuminwalk__Envelope env = CUMINWALK__ENVELOPE__INIT;
+    Cuminwalk__JobAnswer m = CUMINWALK__JOB_ANSWER__INIT;
+
+    fill_probe_answer(d, &m, now);
     env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_ANSWER;
     env.job_answer = &m;
     (void)cw_peer_conn_send(conn, &env);
 }
 
+void
+cw_forward_role_ended(struct cw_jobd *d)
+{
+    Cuminwalk__Envelope env = CUMINWALK__ENVELOPE__INIT;
+    Cuminwalk__JobAnswer m = CUMINWALK__JOB_ANSWER__INIT;
+
+    fill_probe_answer(d, &m, cw_jobd_now(d));
+    env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_ANSWER;
+    env.job_answer = &m;
+    cw_peer_net_broadcast(&d->peers, &env);
+}
+
+bool
+cw_forward_confirmed(const struct cw_jobd *d, cw_ms now)
+{
+    return d->role == CW_ROLE_FOLLOWER && d->scheduler_conn_open &&
+           d->scheduler_confirmed_at != 0 &&
+           now - d->scheduler_confirmed_at < CONFIRMED_MAX_MS;
+}
+
+/* The connected daemon does not schedule: the one that it names may. */
+static void
+follow_hint(struct cw_jobd *d, const char *address)
+{
+    struct cw_str hint = cw_str_from(address);
+
+    d->scheduler_confirmed_at = 0;
+    d->scheduler_query_due = 0;
+    d->scheduler_unproved = true;
+    if (hint.len > 0 &&
+        !cw_str_eq(hint, cw_name_str(&d->settings.peer_listen)) &&
+        !cw_str_eq(hint, cw_name_str(&d->scheduler_conn_address)) &&
+        cw_name_set(&d->scheduler, hint) == CW_OK) {
+        cw_log(CW_INFO, "scheduler_hint", "address=%s from=%s",
+               d->scheduler.text, d->scheduler_conn_address.text);
+    }
+}
+
+static void
+handle_probe_answer(struct cw_jobd *d, const struct cw_peer_conn *conn,
+                    const Cuminwalk__JobAnswer *m)
+{
+    cw_ms now = cw_jobd_now(d);
+
+    if (conn != d->scheduler_conn || d->role != CW_ROLE_FOLLOWER) {
+        return;
+    }
+    if (m->result == CW_RESULT_NOT_SCHEDULER) {
+        follow_hint(d, m->scheduler);
+        return;
+    }
+    d->scheduler_unproved = false;
+    d->scheduler_confirmed_at = m->result == CW_RESULT_OK ? now : 0;
+    d->scheduler_seen_at = now;
+    if (m->config_version > d->config.version) {
+        cw_watch_operators_again(d);
+    }
+}
+
 /* A connection's data points to the list of its incoming calls. */
 static void
 incoming_unlink(struct incoming_call *in)
@@ -82,7 +171,7 @@
     cw_ms now = cw_jobd_now(d);
 
     if (m->kind == KIND_PING) {
-        send_answer(conn, 0, NULL);
+        answer_probe(d, conn, now);
         return;
     }
     in = calloc(1, sizeof(*in));
@@ -164,11 +253,29 @@
         handle_call(d, conn, env->job_call);
     }
     else if (env->msg_case == CUMINWALK__ENVELOPE__MSG_JOB_ANSWER) {
-        handle_answer(d, env->job_answer);
+        if (env->job_answer->stream == 0) {
+            handle_probe_answer(d, conn, env->job_answer);
+        }
+        else {
+            handle_answer(d, env->job_answer);
+        }
     }
     return false;
 }
 
+static void
+send_probe(struct cw_jobd *d, cw_ms now)
+{
+    Cuminwalk__Envelope env = CUMINWALK__ENVELOPE__INIT;
+    Cuminwalk__JobCall m = CUMINWALK__JOB_CALL__INIT;
+
+    m.kind = KIND_PING;
+    env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_CALL;
+    env.job_call = &m;
+    d->scheduler_probe_at = now;
+    (void)cw_peer_conn_send(d->scheduler_conn, &env);
+}
+
 static void
 on_opened(void *ctx, struct cw_peer_conn *conn, bool incoming)
 {
@@ -177,6 +284,8 @@
     if (!incoming && conn == d->scheduler_conn) {
         d->scheduler_conn_open = true;
         d->scheduler_heard_at = cw_jobd_now(d);
+        d->scheduler_confirmed_at = 0;
+        send_probe(d, d->scheduler_heard_at);
     }
 }
 
@@ -216,6 +325,7 @@
         }
         d->scheduler_conn = NULL;
         d->scheduler_conn_open = false;
+        d->scheduler_confirmed_at = 0;
         d->scheduler_conn_at = cw_jobd_now(d);
         d->scheduler_query_due = 0;
         retry_or_fail_forwarded(d);
@@ -259,19 +369,14 @@
     Cuminwalk__JobCall m = CUMINWALK__JOB_CALL__INIT;
     static struct cw_job_spec_wire wire; /* one loop, one thread */
 
-    if (c == NULL) {
-        m.kind = KIND_PING;
-    }
-    else {
-        m.stream = c->stream;
-        m.kind = c->kind;
-        m.id = c->id;
-        m.queue = (char *)c->queue.text;
-        m.timeout_ms = c->deadline > now ? (uint32_t)(c->deadline - now) : 0;
-        if (c->kind == CW_CALL_SUBMIT) {
-            cw_job_spec_to_wire(&c->spec, &wire);
-            m.spec = &wire.msg;
-        }
+    m.stream = c->stream;
+    m.kind = c->kind;
+    m.id = c->id;
+    m.queue = (char *)c->queue.text;
+    m.timeout_ms = c->deadline > now ? (uint32_t)(c->deadline - now) : 0;
+    if (c->kind == CW_CALL_SUBMIT) {
+        cw_job_spec_to_wire(&c->spec, &wire);
+        m.spec = &wire.msg;
     }
     env.msg_case = CUMINWALK__ENVELOPE__MSG_JOB_CALL;
     env.job_call = &m;
@@ -324,16 +429,20 @@
         now - d->scheduler_conn_at > CONNECT_TIMEOUT_MS) {
         cw_peer_conn_close(d->scheduler_conn);
     }
-    if (d->scheduler_conn != NULL && d->scheduler_conn_open &&
-        d->forwarded != NULL) {
-        if (now - d->scheduler_heard_at > SILENCE_MAX_MS) {
+    if (d->scheduler_conn != NULL && d->scheduler_conn_open) {
+        cw_ms silent = now - d->scheduler_heard_at;
+        cw_ms unprobed = now - d->scheduler_probe_at;
+
+        if (silent >
+            (d->forwarded != NULL ? SILENCE_MAX_MS : CONFIRMED_MAX_MS)) {
             cw_log(CW_WARN, "scheduler_silent", "to=%s ms=%lld",
-                   d->scheduler_conn_address.text,
-                   (long long)(now - d->scheduler_heard_at));
+                   d->scheduler_conn_address.text, (long long)silent);
             cw_peer_conn_close(d->scheduler_conn);
         }
-        else if (now - d->scheduler_heard_at > SILENCE_MAX_MS / 2) {
-            (void)send_call(d, NULL, now);
+        else if (unprobed >= PROBE_INTERVAL_MS ||
+                 (d->forwarded != NULL && silent > SILENCE_MAX_MS / 2 &&
+                  unprobed > SILENCE_MAX_MS / 4)) {
+            send_probe(d, now);
         }
     }
     if (d->scheduler_conn == NULL && d->scheduler.len > 0 && !self &&
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -23,12 +23,19 @@
  * before, and after one that differed. */
 #define SCHEDULER_QUERY_INTERVAL_MS 500
 #define SCHEDULER_QUERY_SOON_MS 100
+/* The same while the connected scheduler confirms its role, only to keep the
+ * group at its size; varied, so that the daemons ask at different times. */
+#define GROUP_CHECK_MS 8000
+#define GROUP_CHECK_JITTER_MS 4000
 #define STORE_TIMEOUT_MS 900
 /* Epochs reserved for the takeovers in one generation of the group. */
 #define EPOCHS_PER_GENERATION 1000
 /* Delay before the next join after a failed takeover. */
 #define TAKEOVER_RETRY_MS 200
 
+/* Time for a member to answer before the next one is asked. */
+#define MEMBER_TRY_MS 300
+
 static void load_jobs_page(struct cw_jobd *d);
 
 bool
@@ -51,6 +58,7 @@
     d->scheduler.len = 0;
     d->scheduler.text[0] = '\0';
     d->scheduler_query_due = 0;
+    cw_forward_role_ended(d);
     cw_fleet_close(d);
     cw_agents_close(d);
     cw_commit_reset(d);
@@ -88,6 +96,8 @@
            (long long)(now - d->role_since));
     cw_jobd_record_ms(d, "cuminwalk_takeover_ms", "", now - d->role_since);
     cw_fleet_open(d);
+    /* A follower's read may have waited on a connection that went dead. */
+    cw_watch_operators_again(d);
     cw_watch_workers(d, now);
     cw_commit_schedule(d);
 }
@@ -297,27 +307,76 @@
     d->next_join_at = now + (cw_ms)cw_rng_below(&d->rng, JOIN_JITTER_MS);
 }
 
+/* While the store does not answer, asks the members of the group in turn who
+ * schedules: the next scheduler was one of them. */
+static void
+try_next_member(struct cw_jobd *d, cw_ms now)
+{
+    if ((d->scheduler_conn_open && !d->scheduler_unproved) ||
+        now - d->scheduler_conn_at < MEMBER_TRY_MS) {
+        return;
+    }
+    for (uint32_t i = 0; i < d->member_count; i++) {
+        const struct cw_name *next =
+            &d->members[d->member_next++ % d->member_count];
+
+        if (!cw_name_eq(next, &d->settings.peer_listen) &&
+            !cw_name_eq(next, &d->scheduler)) {
+            d->scheduler = *next;
+            d->scheduler_unproved = true;
+            cw_log(CW_INFO, "scheduler_guess", "address=%s",
+                   d->scheduler.text);
+            return;
+        }
+    }
+}
+
+static void
+remember_members(struct cw_jobd *d, const struct cw_str *members,
+                 uint32_t count)
+{
+    if (count == 0) {
+        return;
+    }
+    d->member_count = 0;
+    for (uint32_t i = 0; i < count && d->member_count < CW_MEMBERS_MAX; i++) {
+        if (cw_name_set(&d->members[d->member_count], members[i]) == CW_OK) {
+            d->member_count++;
+        }
+    }
+}
+
 static void
 on_scheduler_answer(void *arg, enum cw_status s, struct cw_str member,
-                    uint32_t members)
+                    const struct cw_str *members, uint32_t member_count)
 {
     struct cw_jobd *d = arg;
     cw_ms now = cw_jobd_now(d);
     bool same = cw_str_eq(cw_name_str(&d->scheduler), member);
+    cw_ms wait = same ? SCHEDULER_QUERY_INTERVAL_MS : SCHEDULER_QUERY_SOON_MS;
 
     d->scheduler_query_open = false;
-    if (s != CW_OK || d->finished || d->role != CW_ROLE_FOLLOWER) {
+    if (d->finished || d->role != CW_ROLE_FOLLOWER) {
+        return;
+    }
+    if (s != CW_OK) {
+        try_next_member(d, now);
         return;
     }
+    remember_members(d, members, member_count);
+    d->scheduler_unproved = false;
     if (!same && cw_name_set(&d->scheduler, member) == CW_OK &&
         !cw_name_eq(&d->scheduler, &d->scheduler_logged)) {
         cw_log(CW_INFO, "scheduler_known", "address=%s was=%s",
                d->scheduler.text, d->scheduler_logged.text);
         d->scheduler_logged = d->scheduler;
     }
-    update_membership(d, members, now);
-    d->scheduler_query_due =
-        now + (same ? SCHEDULER_QUERY_INTERVAL_MS : SCHEDULER_QUERY_SOON_MS);
+    update_membership(d, member_count, now);
+    if (same && cw_forward_confirmed(d, now)) {
+        wait = GROUP_CHECK_MS +
+               (cw_ms)cw_rng_below(&d->rng, GROUP_CHECK_JITTER_MS);
+    }
+    d->scheduler_query_due = now + wait;
 }
 
 void
@@ -334,8 +393,14 @@
         !d->leaving && now >= d->next_join_at) {
         send_join(d, now);
     }
-    if (d->role == CW_ROLE_FOLLOWER && !d->scheduler_query_open &&
-        now >= d->scheduler_query_due) {
+    if (d->role != CW_ROLE_FOLLOWER || d->scheduler_query_open) {
+        return;
+    }
+    if (!cw_forward_confirmed(d, now) &&
+        d->scheduler_query_due > now + SCHEDULER_QUERY_INTERVAL_MS) {
+        d->scheduler_query_due = now;
+    }
+    if (now >= d->scheduler_query_due) {
         d->scheduler_query_open = true;
         d->scheduler_query_due = now + SCHEDULER_QUERY_SOON_MS;
         d->ports.store.get_owner(d->ports.ctx, STORE_TIMEOUT_MS,
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -7,6 +7,11 @@
 /* Long-poll time of a read of operators' records. A connection may go dead
  * without a reset, so a longer wait would delay changes. */
 #define OPERATORS_WAIT_MS 1000
+/* The same while the scheduler's answers to probes tell when a configuration
+ * is missing here. */
+#define OPERATORS_WAIT_CONFIRMED_MS 10000
+/* A read without an answer for longer than its wait is given up. */
+#define OPERATORS_MARGIN_MS 700
 #define OPERATORS_RETRY_MS 150
 #define STORE_TIMEOUT_MS 900
 /* Time between reads of the list of workers. Each of some fifty workers writes
@@ -83,15 +88,22 @@
     }
 }
 
+struct operators_ctx {
+    struct cw_jobd *d;
+    uint64_t read;
+};
+
 static void
 on_operator_records(void *arg, enum cw_status s, const struct cw_store_page *p)
 {
-    struct cw_jobd *d = arg;
+    struct operators_ctx c = *(struct operators_ctx *)arg;
+    struct cw_jobd *d = c.d;
 
-    d->operators_reading = false;
-    if (d->finished) {
-        return;
+    free(arg);
+    if (d->finished || c.read != d->operators_read) {
+        return; /* a later read has replaced it */
     }
+    d->operators_reading = false;
     if (s == CW_ERR_NOT_FOUND) {
         /* The offset is no longer kept: load each key's newest record. */
         d->operators_loaded = false;
@@ -121,22 +133,43 @@
     d->operators_loaded = true;
 }
 
+void
+cw_watch_operators_again(struct cw_jobd *d)
+{
+    if (d->operators_loaded &&
+        cw_jobd_now(d) - d->operators_read_at > OPERATORS_RETRY_MS) {
+        d->operators_reading = false;
+    }
+}
+
 void
 cw_watch_operators(struct cw_jobd *d, cw_ms now)
 {
+    bool confirmed = cw_forward_confirmed(d, now);
+    struct operators_ctx *c;
+
+    if (!confirmed &&
+        now - d->operators_read_at > OPERATORS_WAIT_MS + OPERATORS_MARGIN_MS) {
+        cw_watch_operators_again(d); /* its wait was the long one */
+    }
     if (d->operators_reading || now < d->operators_retry_at) {
         return;
     }
+    c = malloc(sizeof(*c));
+    CW_INVARIANT(c != NULL);
+    *c = (struct operators_ctx){d, ++d->operators_read};
     d->operators_reading = true;
+    d->operators_read_at = now;
     if (d->operators_loaded) {
-        d->ports.store.read(d->ports.ctx, CW_STREAM_OPERATORS,
-                            d->operators_next_offset, OPERATORS_WAIT_MS,
-                            on_operator_records, d);
+        d->ports.store.read(
+            d->ports.ctx, CW_STREAM_OPERATORS, d->operators_next_offset,
+            confirmed ? OPERATORS_WAIT_CONFIRMED_MS : OPERATORS_WAIT_MS,
+            on_operator_records, c);
     }
     else {
         d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS,
                                    cw_name_str(&d->operators_after_key),
-                                   STORE_TIMEOUT_MS, on_operator_records, d);
+                                   STORE_TIMEOUT_MS, on_operator_records, c);
     }
 }
 
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -50,6 +50,7 @@
                                    uint64_t generation, bool is_scheduler);
 typedef void (*cw_store_owner_done)(void *arg, enum cw_status s,
                                     struct cw_str owner,
+                                    const struct cw_str *members,
                                     uint32_t member_count);
 
 struct cw_store_port {
@@ -78,8 +79,8 @@
                  cw_ms ttl_ms, cw_store_join_done done, void *arg);
     void (*leave)(void *ctx, struct cw_str member, cw_store_done done,
                   void *arg);
-    /* Gets the member that is the scheduler, empty when there is none, and the
-     * number of members. */
+    /* Gets the member that is the scheduler, empty when there is none, and all
+     * members. */
     void (*get_owner)(void *ctx, cw_ms timeout, cw_store_owner_done done,
                       void *arg);
 };
--- a/packages/ports/cw_peer_net.c
+++ b/packages/ports/cw_peer_net.c
@@ -301,3 +301,18 @@
         n->listener = NULL;
     }
 }
+
+void
+cw_peer_net_broadcast(struct cw_peer_net *n, Cuminwalk__Envelope *env)
+{
+    struct cw_peer_conn *c = n->conns;
+
+    while (c != NULL) {
+        struct cw_peer_conn *next = c->next;
+
+        if (c->open) {
+            (void)cw_peer_conn_send(c, env);
+        }
+        c = next;
+    }
+}
--- a/packages/ports/cw_peer_net.h
+++ b/packages/ports/cw_peer_net.h
@@ -52,5 +52,8 @@
  * too large, CW_ERR_NOMEM; none of the frame is sent after a failure. */
 enum cw_status cw_peer_conn_send(struct cw_peer_conn *c,
                                  Cuminwalk__Envelope *env);
+/* Queues the frame on all open connections; a connection that cannot take it
+ * is passed over. */
+void cw_peer_net_broadcast(struct cw_peer_net *n, Cuminwalk__Envelope *env);
 
 #endif
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -3102,7 +3102,7 @@
   (ProtobufCMessageInit) cuminwalk__job_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__job_answer__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cuminwalk__job_answer__field_descriptors[8] =
 {
   {
     "stream",
@@ -3176,11 +3176,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "scheduler",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, scheduler),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobAnswer, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cuminwalk__job_answer__field_indices_by_name[] = {
+  7,   /* field[7] = config_version */
   5,   /* field[5] = reason */
   1,   /* field[1] = result */
   4,   /* field[4] = retry_after_ms */
+  6,   /* field[6] = scheduler */
   2,   /* field[2] = state */
   0,   /* field[0] = stream */
   3,   /* field[3] = waiting */
@@ -3188,7 +3214,7 @@
 static const ProtobufCIntRange cuminwalk__job_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cuminwalk__job_answer__descriptor =
 {
@@ -3198,7 +3224,7 @@
   "Cuminwalk__JobAnswer",
   "cuminwalk",
   sizeof(Cuminwalk__JobAnswer),
-  6,
+  8,
   cuminwalk__job_answer__field_descriptors,
   cuminwalk__job_answer__field_indices_by_name,
   1,  cuminwalk__job_answer__number_ranges,
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -397,10 +397,17 @@
   uint32_t waiting;
   uint32_t retry_after_ms;
   char *reason;
+  /*
+   * In the answer to a probe (stream 0): the peer address of the daemon that
+   * schedules, as far as the sender knows, and the version of its
+   * configuration.
+   */
+  char *scheduler;
+  uint64_t config_version;
 };
 #define CUMINWALK__JOB_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_answer__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 typedef enum {
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -168,6 +168,19 @@
     a->u.report(a->arg, a->status, a->status == CW_OK ? &r : NULL);
 }
 
+static void
+answer_owner(struct answer *a)
+{
+    struct cw_str members[FAKE_MEMBERS_MAX];
+    uint32_t n = 0;
+
+    while (n < a->f->member_count) {
+        members[n] = cw_str_from(a->f->members[n].name);
+        n++;
+    }
+    a->u.owner(a->arg, a->status, cw_str_from(a->name), members, n);
+}
+
 static void
 unlink_answer(struct answer *a)
 {
@@ -198,8 +211,7 @@
         a->u.join(a->arg, a->status, a->number, a->flag);
         break;
     case OWNER:
-        a->u.owner(a->arg, a->status, cw_str_from(a->name),
-                   (uint32_t)a->number);
+        answer_owner(a);
         break;
     case START:
         a->u.start(a->arg, a->status, CW_START_OK);
