Waves: drain VMs with lasting tasks in time; log a late event loop

The wave as a whole was ahead of its pace, as idle VMs were maintained at once, so only 29 VMs were drained together.

Change: as many VMs with lasting tasks are drained together as the time left requires, at 8 s each. loop_late and cuminwalk_late_ticks_total show a tick that comes over 200 ms late.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -95,6 +95,8 @@
     struct cw_metrics metrics;
     struct cw_rng rng;
     uv_timer_t tick;
+    cw_ms last_tick_at;
+    cw_ms late_log_due;
     uv_timer_t commit_timer;
 
     /* Configuration and waves, on every daemon. */
--- a/packages/jobd/jobd.c
+++ b/packages/jobd/jobd.c
@@ -14,6 +14,10 @@
 #define HANDOVER_MAX_MS 1000
 /* Part of the grace period that is reserved for the exit itself. */
 #define EXIT_MARGIN_MS 1200
+/* A tick that comes this late is logged, at most once in LATE_LOG_MS: the VM
+ * has too little processor time, or was paused. */
+#define LATE_TICK_MS 200
+#define LATE_LOG_MS 1000
 /* Time between removals of expired jobs and workers. */
 #define SWEEP_INTERVAL_MS 1000
 
@@ -121,12 +125,29 @@
     }
 }
 
+static void
+watch_lateness(struct cw_jobd *d, cw_ms now)
+{
+    cw_ms late = now - d->last_tick_at - TICK_MS;
+
+    if (d->last_tick_at != 0 && late > LATE_TICK_MS) {
+        cw_jobd_count(d, "cuminwalk_late_ticks_total", "");
+        if (now >= d->late_log_due) {
+            d->late_log_due = now + LATE_LOG_MS;
+            cw_log(CW_WARN, "loop_late", "ms=%lld scheduler=%d",
+                   (long long)late, d->role == CW_ROLE_SCHEDULER);
+        }
+    }
+    d->last_tick_at = now;
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
     struct cw_jobd *d = t->data;
     cw_ms now = cw_jobd_now(d);
 
+    watch_lateness(d, now);
     cw_member_tick(d, now);
     cw_watch_operators(d, now);
     sched_tick(d, now);
--- a/packages/jobs/fleet_plan.c
+++ b/packages/jobs/fleet_plan.c
@@ -239,6 +239,9 @@
 #define DRAIN_AT_ONCE_BASE 2
 #define DRAIN_SHARE 0.05
 #define FINISH_SHARE 0.6
+/* Time to move the lasting tasks off one VM, a few at a time. As many such VMs
+ * are drained together as the time that is left requires. */
+#define LASTING_DRAIN_MS 8000
 
 bool
 cw_maint_done(const struct cw_maint_vm *vms, size_t n)
@@ -251,6 +254,18 @@
     return true;
 }
 
+/* VMs to drain together so that all with lasting tasks are done by
+ * FINISH_SHARE of the wave's duration. */
+static uint32_t
+lasting_drains_needed(uint32_t left, cw_ms elapsed_ms, cw_ms duration_ms)
+{
+    double ms = FINISH_SHARE * (double)duration_ms - (double)elapsed_ms;
+
+    return ms < LASTING_DRAIN_MS
+               ? left
+               : (uint32_t)((double)left * LASTING_DRAIN_MS / ms) + 1;
+}
+
 /* The VM that is cheapest to drain, or n: fewest lasting tasks, then least
  * load. */
 static size_t
@@ -281,6 +296,8 @@
     uint32_t down = 0;
     uint32_t left = 0;
     uint32_t draining = 0;
+    uint32_t lasting_left = 0;
+    uint32_t needed;
     uint32_t max;
     double pace = duration_ms <= 0 ? 1
                                    : (double)elapsed_ms /
@@ -295,6 +312,8 @@
         down += vms[i].down ? 1 : 0;
         left += !vms[i].done && !vms[i].absent ? 1 : 0;
         draining += vms[i].draining && !vms[i].done ? 1 : 0;
+        lasting_left +=
+            !vms[i].done && !vms[i].absent && vms[i].lasting > 0 ? 1 : 0;
     }
     for (size_t i = 0; i < n && down < at_once; i++) {
         if (!vms[i].done && !vms[i].absent && !vms[i].busy &&
@@ -310,6 +329,10 @@
     if (n > 0 && 1.0 - (double)left / (double)n < pace) {
         max += (uint32_t)((pace - 1.0 + (double)left / (double)n) * (double)n);
     }
+    needed = lasting_drains_needed(lasting_left, elapsed_ms, duration_ms);
+    if (lasting_left > 0 && needed > max) {
+        max = needed;
+    }
     if (max > at_once) {
         max = at_once > 0 ? at_once : 1;
     }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -365,6 +365,45 @@
     assert_true(cw_maint_done(v, 5));
 }
 
+#define WAVE_VMS 540
+#define WAVE_LASTING 70
+
+/* A wave in which one VM of eight holds lasting tasks: most VMs are idle and
+ * maintained at once, so that the wave as a whole is ahead of its pace, but
+ * the VMs with lasting tasks take seconds each. All of them must be under way
+ * before the time left is short. */
+static void
+test_wave_with_lasting_tasks(void **state)
+{
+    (void)state;
+    static struct cw_maint_vm v[WAVE_VMS];
+    static const struct {
+        cw_ms elapsed;
+        uint32_t at_once;
+        size_t draining; /* at least this many of them */
+    } cases[] = {
+        {0, 225, 35}, {4000, 225, 50}, {8000, 225, 64}, {8000, 20, 20}};
+
+    for (size_t k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
+        struct cw_maint_plan p;
+
+        memset(v, 0, sizeof(v));
+        for (size_t i = 0; i < WAVE_VMS; i++) {
+            v[i].done = i >= WAVE_LASTING;
+            v[i].tasks = i < WAVE_LASTING ? 5 : 0;
+            v[i].lasting = v[i].tasks;
+        }
+        cw_maint_decide(v, WAVE_VMS, cases[k].at_once, cases[k].elapsed, 24000,
+                        &p);
+        if (p.drain_count < cases[k].draining) {
+            fail_msg("after %lld ms only %zu of %zu VMs are drained",
+                     (long long)cases[k].elapsed, p.drain_count,
+                     cases[k].draining);
+        }
+        assert_true(p.drain_count <= cases[k].at_once);
+    }
+}
+
 int
 main(void)
 {
@@ -382,6 +421,7 @@
         cmocka_unit_test(test_large_job_is_no_rate),
         cmocka_unit_test(test_rate_of_few_large_jobs),
         cmocka_unit_test(test_maintenance_wave),
+        cmocka_unit_test(test_wave_with_lasting_tasks),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
