Scheduler: under load fetch ends together and commit less often; read late answers

Each of some 800 busy workers was asked again after each end, 5,600 times a second, and 1,974 starts ran into their timeout of 400 ms although most had been answered: libuv runs timers before it reads, so that each long pass of the loop ended calls whose answers were there. Such a start is sent again and its worker gets no tasks for 800 ms.

Change: a moving average of the ticks' lateness defers the next report of a worker (up to 250 ms) and lengthens the commit interval (20 to 80 ms); a call's deadline is checked again 5 ms later, after one more pass of reads.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -57,6 +57,7 @@
     bool closing;
     bool reporting;
     cw_ms report_sent;
+    cw_ms next_report_at; /* not before; later while the loop lags behind */
     cw_ms report_due;
     uint64_t report_acked; /* acknowledgement in the open report call */
     uint64_t acked_sent;   /* acknowledgement that the worker received */
@@ -434,6 +435,7 @@
         }
         a->failures = 0;
         a->acked_sent = a->report_acked;
+        a->next_report_at = now + cw_loop_lag_report_delay(&d->lag);
         r->sent_at = a->report_sent;
         cw_sched_report(d->sched, a->worker, r, now);
         a->report_due = a->worker->ack_pending > a->worker->acked
@@ -449,7 +451,7 @@
 {
     const struct cw_worker *w = a->worker;
 
-    if (a->reporting) {
+    if (a->reporting || now < a->next_report_at) {
         return false;
     }
     if (w->ack_pending > w->acked && now < a->report_due) {
--- a/packages/jobd/commit.c
+++ b/packages/jobd/commit.c
@@ -3,9 +3,6 @@
 
 #include <string.h>
 
-/* Minimum time between the starts of two commits: collects changes and limits
- * the calls to the store to 50 per second. */
-#define COMMIT_INTERVAL_MIN_MS 20
 #define COMMIT_TIMEOUT_MS 1500
 #define COMMIT_RETRY_MS 100
 /* New submissions are refused while a commit waits longer than this. */
@@ -116,7 +113,8 @@
 cw_commit_schedule(struct cw_jobd *d)
 {
     cw_ms now = cw_jobd_now(d);
-    cw_ms wait = d->last_commit_at + COMMIT_INTERVAL_MIN_MS - now;
+    cw_ms wait =
+        d->last_commit_at + cw_loop_lag_commit_interval(&d->lag) - now;
 
     if (d->commit_busy || d->role != CW_ROLE_SCHEDULER ||
         uv_is_active((uv_handle_t *)&d->commit_timer)) {
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -96,6 +96,7 @@
     struct cw_rng rng;
     uv_timer_t tick;
     cw_ms last_tick_at;
+    struct cw_loop_lag lag;
     cw_ms late_log_due;
     uv_timer_t commit_timer;
 
--- a/packages/jobd/jobd.c
+++ b/packages/jobd/jobd.c
@@ -130,6 +130,9 @@
 {
     cw_ms late = now - d->last_tick_at - TICK_MS;
 
+    if (d->last_tick_at != 0) {
+        cw_loop_lag_add(&d->lag, late);
+    }
     if (d->last_tick_at != 0 && late > LATE_TICK_MS) {
         cw_jobd_count(d, "cuminwalk_late_ticks_total", "");
         if (now >= d->late_log_due) {
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -534,6 +534,20 @@
 struct cw_pool_load cw_pool_load(const struct cw_sched *s,
                                  const struct cw_pool *p, cw_ms now);
 
+/* ---- jobs_lag.c ---- */
+
+/* How late the event loop's ticks come, as a moving average. */
+struct cw_loop_lag {
+    double average_ms;
+};
+
+void cw_loop_lag_add(struct cw_loop_lag *l, cw_ms late);
+/* Time between a worker's report and the next call for one: under load, ends
+ * are fetched several at a time. */
+cw_ms cw_loop_lag_report_delay(const struct cw_loop_lag *l);
+/* Minimum time between the starts of two commits. */
+cw_ms cw_loop_lag_commit_interval(const struct cw_loop_lag *l);
+
 /* ---- jobs_pace.c ---- */
 
 /* Slows backfill tasks down on workers where the tail latency of a task comes
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -12,6 +12,9 @@
 /* Each call has its own deadline; h2o's timer must not expire before it. */
 #define IO_TIMEOUT_MS (24 * 3600 * 1000)
 
+/* Time after its deadline that a call's answer is still read. */
+#define OVERDUE_MS 5
+
 struct cw_http_call {
     uv_timer_t timer; /* deadline, then delivery of the result */
     struct cw_http_client *client;
@@ -23,6 +26,7 @@
     struct cw_buf body; /* of the answer */
     int status;
     bool sent;
+    bool overdue; /* its deadline has passed */
     enum cw_status result;
     void (*done)(void *arg, enum cw_status s, const struct cw_http_answer *a);
     void *arg;
@@ -114,10 +118,19 @@
     end_call(call, call->sent ? CW_ERR_UNKNOWN : CW_ERR_TIMEOUT, reason);
 }
 
+/* libuv runs timers before it reads from sockets. After a pause of the process
+ * or a long pass of the loop, answers that arrived in time are read first. */
 static void
 on_deadline(uv_timer_t *t)
 {
-    cancel_call(t->data, "deadline passed");
+    struct cw_http_call *call = t->data;
+
+    if (!call->overdue) {
+        call->overdue = true;
+        uv_timer_start(t, on_deadline, OVERDUE_MS, 0);
+        return;
+    }
+    cancel_call(call, "deadline passed");
 }
 
 void
