--- a/packages/base/cw_clock.c
+++ b/packages/base/cw_clock.c
@@ -17,7 +17,9 @@
 system_now(void *ctx)
 {
     (void)ctx;
-    return read_clock(CLOCK_MONOTONIC);
+    /* CLOCK_MONOTONIC stands still while the VM is suspended: a membership or
+     * lease that ran out meanwhile would still look valid. */
+    return read_clock(CLOCK_BOOTTIME);
 }
 
 static cw_ms
--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -115,6 +115,13 @@
     struct cw_job_entry *j;
     enum cw_status st;
 
+    j = cw_sched_find_job(d->sched, c->id);
+    if (j != NULL) {
+        /* A repeat: "not run" would be false if the first submission is in a
+         * batch without an answer. */
+        await_commit(d, c, j->state_batch);
+        return;
+    }
     if (!cw_commit_healthy(d, now)) {
         cw_calls_complete(c, CW_RESULT_NOT_RUN, "store_unavailable",
                           RETRY_AFTER_MS);
--- a/packages/jobd/fleet_orders.c
+++ b/packages/jobd/fleet_orders.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 
 #define ORDER_RETRY_MS 400
+/* With less time left in the membership an order waits for its renewal. */
+#define ORDER_TIMEOUT_MIN_MS 100
 /* No orders for a VM this long after VM control has refused one. */
 #define REFUSED_PAUSE_MS 1500
 /* Added to the minimum time between two daemons' orders for one VM. */
@@ -96,9 +98,18 @@
 static void
 send_order(struct cw_jobd *d, struct fleet_vm *v, cw_ms now)
 {
-    struct vm_call *c = malloc(sizeof(*c));
+    struct vm_call *c;
     struct cw_str holder = cw_name_str(&d->settings.daemon);
+    cw_ms valid_ms = d->member_valid_until - cw_jobd_now(d);
+    /* VM control does not fence orders: none may be sent once the membership
+     * may have expired, also not when its connection opens late. */
+    cw_ms timeout = valid_ms < ORDER_TIMEOUT_MS ? valid_ms : ORDER_TIMEOUT_MS;
 
+    if (timeout < ORDER_TIMEOUT_MIN_MS) {
+        v->retry_at = now; /* the next tick with a valid membership sends it */
+        return;
+    }
+    c = malloc(sizeof(*c));
     CW_INVARIANT(c != NULL);
     c->term_ctx = cw_term_ctx_new(d);
     c->vm = v->name;
@@ -107,12 +118,11 @@
     if (v->order == VM_MOVE) {
         d->ports.vmctl.move(d->ports.ctx, cw_name_str(&v->name),
                             cw_name_str(&v->target_pool), holder, d->epoch,
-                            ORDER_TIMEOUT_MS, on_order, c);
+                            timeout, on_order, c);
     }
     else {
         d->ports.vmctl.maintain(d->ports.ctx, cw_name_str(&v->name), v->wave,
-                                holder, d->epoch, ORDER_TIMEOUT_MS, on_order,
-                                c);
+                                holder, d->epoch, timeout, on_order, c);
     }
 }
 
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -335,7 +335,7 @@
 {
     uint32_t run = 0;
     uint32_t placed = 0;
-    struct candidate **chosen = calloc(rs->count, sizeof(*chosen));
+    struct candidate **chosen = calloc(rs->count, sizeof(void *));
 
     if (chosen == NULL) {
         return true;
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -23,8 +23,9 @@
     struct cw_buf request;
     struct cw_buf body; /* of the answer */
     int status;
-    bool sent;    /* at least a part of the request */
-    bool overdue; /* its deadline has passed */
+    bool sent;     /* at least a part of the request */
+    bool overdue;  /* its deadline has passed */
+    cw_ms expires; /* nothing is sent from then on; counts suspensions */
     enum cw_status result;
     void (*done)(void *arg, enum cw_status s, const struct cw_http_answer *a);
     void *arg;
@@ -182,16 +183,16 @@
     uv_close((uv_handle_t *)&c->idle_timer, on_conn_handle_closed);
 }
 
-/* Ends the call of a connection that failed. */
+/* Ends the call of a connection that failed; unsent is its status when nothing
+ * of it was sent. */
 static void
-conn_failed(struct cw_http_conn *c, const char *reason)
+conn_failed(struct cw_http_conn *c, enum cw_status unsent, const char *reason)
 {
     struct cw_http_call *call = c->call;
 
     close_conn(c);
     if (call != NULL) {
-        set_result(call, call->sent ? CW_ERR_UNKNOWN : CW_ERR_UNAVAILABLE,
-                   reason);
+        set_result(call, call->sent ? CW_ERR_UNKNOWN : unsent, reason);
         deliver_result(call);
     }
 }
@@ -304,7 +305,7 @@
         return;
     }
     if (n < 0 && n != UV_EOF) {
-        conn_failed(c, uv_strerror((int)n));
+        conn_failed(c, CW_ERR_UNKNOWN, uv_strerror((int)n));
         return;
     }
     c->client->traffic.bytes_in += n > 0 ? (uint64_t)n : 0;
@@ -314,7 +315,8 @@
         finish_exchange(c);
     }
     else if (reason != NULL || n < 0) {
-        conn_failed(c, reason != NULL ? reason : "connection closed");
+        conn_failed(c, CW_ERR_UNKNOWN,
+                    reason != NULL ? reason : "connection closed");
     }
 }
 
@@ -326,7 +328,7 @@
     struct cw_http_conn *c = w->data;
 
     if (status != 0 && c->client != NULL) {
-        conn_failed(c, uv_strerror(status));
+        conn_failed(c, CW_ERR_UNKNOWN, uv_strerror(status));
     }
 }
 
@@ -357,6 +359,14 @@
     return uv_write(&c->write, (uv_stream_t *)&c->tcp, &b, 1, on_written);
 }
 
+static cw_ms
+clock_now(void)
+{
+    struct cw_clock clock = cw_clock_system();
+
+    return clock.now(clock.ctx);
+}
+
 static void
 on_connected(uv_connect_t *r, int status)
 {
@@ -366,6 +376,10 @@
     if (c->client == NULL) {
         return;
     }
+    if (e == 0 && clock_now() >= c->call->expires) {
+        /* The process was paused: what allowed the call may have run out. */
+        e = UV_ETIMEDOUT;
+    }
     if (e == 0) {
         e = uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
     }
@@ -373,7 +387,10 @@
         e = send_request(c);
     }
     if (e != 0) {
-        conn_failed(c, uv_strerror(e));
+        /* Only a refused connection shows that no process listens there. */
+        conn_failed(c,
+                    e == UV_ECONNREFUSED ? CW_ERR_UNAVAILABLE : CW_ERR_TIMEOUT,
+                    uv_strerror(e));
     }
 }
 
@@ -495,11 +512,12 @@
         deliver_later(call, CW_ERR_UNAVAILABLE, "client not ready");
         return;
     }
+    call->expires = clock_now() + r->timeout_ms;
     uv_update_time(c->loop);
     uv_timer_start(&call->timer, on_deadline, (uint64_t)r->timeout_ms, 0);
     e = begin_exchange(call);
     if (e != 0) {
-        deliver_later(call, call->sent ? CW_ERR_UNKNOWN : CW_ERR_UNAVAILABLE,
+        deliver_later(call, call->sent ? CW_ERR_UNKNOWN : CW_ERR_TIMEOUT,
                       uv_strerror(e));
     }
 }
--- a/packages/ports/cw_http_call.h
+++ b/packages/ports/cw_http_call.h
@@ -51,8 +51,9 @@
 
 /* Starts a call. done is called once, never before this has returned, with
  *   CW_OK              a complete answer with any HTTP status,
- *   CW_ERR_UNAVAILABLE connect failed: nothing was sent,
- *   CW_ERR_TIMEOUT     the deadline passed before anything was sent,
+ *   CW_ERR_UNAVAILABLE the connection was refused: nothing was sent,
+ *   CW_ERR_TIMEOUT     nothing was sent by the deadline, as the peer could not
+ *                      be reached or this process was paused,
  *   CW_ERR_UNKNOWN     sent, no complete answer. */
 void cw_http_call(struct cw_http_client *c, const struct cw_http_request *r,
                   void (*done)(void *arg, enum cw_status s,
--- /dev/null
+++ b/tests/test_http_call.c
@@ -0,0 +1,311 @@
+/* Tests the HTTP calls against a server on the same loop that answers as each
+ * case says. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "cw_http_call.h"
+#include "platform_int.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static uv_loop_t loop;
+static struct {
+    uv_tcp_t listener;
+    char address[32];
+    const char *answer;
+    size_t connections;
+    size_t bytes_received;
+} server;
+
+struct peer {
+    uv_tcp_t tcp;
+    uv_write_t write;
+};
+
+static void
+on_alloc(uv_handle_t *h, size_t n, uv_buf_t *b)
+{
+    static char bytes[4096];
+
+    (void)h;
+    (void)n;
+    *b = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_peer_closed(uv_handle_t *h)
+{
+    free(h);
+}
+
+static void
+on_peer_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+{
+    struct peer *p = (struct peer *)s;
+    uv_buf_t out =
+        uv_buf_init((char *)server.answer, (unsigned)strlen(server.answer));
+
+    (void)b;
+    if (n <= 0) {
+        uv_close((uv_handle_t *)s, on_peer_closed);
+        return;
+    }
+    server.bytes_received += (size_t)n;
+    (void)uv_write(&p->write, s, &out, 1, NULL);
+}
+
+static void
+on_peer(uv_stream_t *l, int status)
+{
+    struct peer *p = calloc(1, sizeof(*p));
+
+    assert_int_equal(status, 0);
+    assert_non_null(p);
+    server.connections++;
+    assert_int_equal(uv_tcp_init(&loop, &p->tcp), 0);
+    assert_int_equal(uv_accept(l, (uv_stream_t *)&p->tcp), 0);
+    assert_int_equal(
+        uv_read_start((uv_stream_t *)&p->tcp, on_alloc, on_peer_read), 0);
+}
+
+static int
+setup(void **state)
+{
+    struct sockaddr_in sa;
+    int len = sizeof(sa);
+
+    (void)state;
+    memset(&server, 0, sizeof(server));
+    if (uv_loop_init(&loop) != 0 ||
+        uv_tcp_init(&loop, &server.listener) != 0 ||
+        uv_ip4_addr("127.0.0.1", 0, &sa) != 0 ||
+        uv_tcp_bind(&server.listener, (struct sockaddr *)&sa, 0) != 0 ||
+        uv_listen((uv_stream_t *)&server.listener, 16, on_peer) != 0 ||
+        uv_tcp_getsockname(&server.listener, (struct sockaddr *)&sa, &len) !=
+            0) {
+        return -1;
+    }
+    (void)snprintf(server.address, sizeof(server.address), "127.0.0.1:%d",
+                   ntohs(sa.sin_port));
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    (void)state;
+    uv_close((uv_handle_t *)&server.listener, NULL);
+    while (uv_run(&loop, UV_RUN_DEFAULT) != 0) {
+    }
+    return uv_loop_close(&loop) == 0 ? 0 : -1;
+}
+
+struct outcome {
+    int done;
+    enum cw_status status;
+    int code;
+    char body[64];
+};
+
+static void
+on_done(void *arg, enum cw_status s, const struct cw_http_answer *a)
+{
+    struct outcome *o = arg;
+
+    o->done++;
+    o->status = s;
+    o->code = a->status;
+    (void)snprintf(o->body, sizeof(o->body), "%.*s", CW_FMT(a->body));
+}
+
+static struct outcome
+run_call(struct cw_http_client *c, cw_ms timeout)
+{
+    struct outcome o = {0};
+    struct cw_http_request r = {"POST", "/x", CW_LIT("{}"), timeout, NULL};
+
+    cw_http_call(c, &r, on_done, &o);
+    while (o.done == 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    return o;
+}
+
+/* What a peer sends decides the status, never the process: a malformed answer
+ * ends one call, and its connection is not used again. */
+static void
+test_answers(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *answer;
+        enum cw_status status;
+        int code;
+        const char *body;
+        size_t connections; /* after a second call */
+    } cases[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", CW_OK, 200, "{}",
+         1},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\n{\r\n1\r\n}\r\n0\r\n\r\n",
+         CW_OK, 200, "{}", 1},
+        {"HTTP/1.1 100 Continue\r\n\r\n"
+         "HTTP/1.1 204 No Content\r\n\r\n",
+         CW_OK, 204, "", 1},
+        {"HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+         CW_OK, 503, "", 2},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 200 O", CW_OK,
+         200, "{}", 2},
+        {"nonsense\r\n\r\n", CW_ERR_UNKNOWN, 0, "", 2},
+        {"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", CW_ERR_UNKNOWN, 0,
+         "", 2},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+         CW_ERR_UNKNOWN, 200, "", 2},
+    };
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_http_client c;
+
+        server.answer = cases[i].answer;
+        server.connections = 0;
+        assert_int_equal(cw_http_client_init(&c, &loop, server.address),
+                         CW_OK);
+        for (int k = 0; k < 2; k++) {
+            struct outcome o = run_call(&c, 5000);
+
+            if (o.status != cases[i].status || o.code != cases[i].code ||
+                strcmp(o.body, cases[i].body) != 0) {
+                fail_msg("case %zu: status %s code %d body %s", i,
+                         cw_status_name(o.status), o.code, o.body);
+            }
+        }
+        if (server.connections != cases[i].connections) {
+            fail_msg("case %zu: %zu connections", i, server.connections);
+        }
+        cw_http_client_finish(&c);
+        (void)uv_run(&loop, UV_RUN_NOWAIT);
+    }
+}
+
+#define PAUSE_MS 300
+
+static void
+pause_process(void)
+{
+    struct timespec ts = {0, PAUSE_MS * 1000000L};
+
+    (void)nanosleep(&ts, NULL);
+}
+
+/* The process is paused while a connection opens, past the deadline of the
+ * call: the request is not sent any more. */
+static void
+test_nothing_is_sent_after_a_pause(void **state)
+{
+    (void)state;
+    struct cw_http_client c;
+    struct outcome o = {0};
+    struct cw_http_request r = {"POST", "/x", CW_LIT("{}"), PAUSE_MS / 3,
+                                NULL};
+
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert_int_equal(cw_http_client_init(&c, &loop, server.address), CW_OK);
+    cw_http_call(&c, &r, on_done, &o);
+    pause_process();
+    while (o.done == 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    assert_int_equal(o.status, CW_ERR_TIMEOUT);
+    cw_http_client_finish(&c);
+    for (int i = 0; i < 20; i++) {
+        (void)uv_run(&loop, UV_RUN_NOWAIT);
+    }
+    assert_int_equal(server.bytes_received, 0);
+}
+
+static bool
+on_wire(const char *answer)
+{
+    static char text[256];
+
+    (void)snprintf(text, sizeof(text), "%s", answer);
+    server.answer = text;
+    return true;
+}
+
+struct report_outcome {
+    int done;
+    enum cw_status status;
+};
+
+static void
+on_report(void *arg, enum cw_status s, struct cw_run_report *r)
+{
+    struct report_outcome *o = arg;
+
+    (void)r;
+    o->done++;
+    o->status = s;
+}
+
+/* A worker that answers 503 lives and may run its tasks. Taken for a refused
+ * connection, its tasks were started elsewhere once its entry had expired. */
+static void
+test_unwell_worker_is_not_gone(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *answer;
+        enum cw_status status;
+    } cases[] = {
+        {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", CW_ERR_LIMIT},
+        {"HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", CW_ERR_LIMIT},
+        {"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", CW_ERR_NOT_FOUND},
+        {"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n[]", CW_ERR_INVALID},
+    };
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct report_outcome o = {0};
+        struct cw_worker_conn *c = ports.exec.open(&p, &id, &address);
+
+        assert_non_null(c);
+        assert_true(on_wire(cases[i].answer));
+        ports.exec.poll(c, 0, 1, 0, 0, 5000, on_report, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        assert_int_equal(o.status, cases[i].status);
+        ports.exec.close(c);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_answers, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_nothing_is_sent_after_a_pause,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_unwell_worker_is_not_gone, setup,
+                                        teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
