Scheduler: remove workers from their VM's list before they are freed

Cause, found by reading the diff: cw_sched_finish freed the list of a VM's workers with the oldest of them. When a VM had moved, its older worker could be in the pool that is freed first, and the newer one then wrote to freed memory at the end of the scheduler role.

Test: test_end_with_moved_vms fails under AddressSanitizer on the commit before (heap-use-after-free).

--- a/bench/sched_world.c
+++ b/bench/sched_world.c
@@ -429,8 +429,8 @@
     cw_buf_add_str(&w->d.batch.bytes, value);
 }
 
-static struct cw_jobd *
-world_daemon(struct sched_world *w)
+static void
+init_daemon(struct sched_world *w)
 {
     struct cw_jobd *d = &w->d;
     static const char *const names[] = {"pricing", "settlement", "stock",
@@ -461,7 +461,6 @@
     }
     cw_metrics_init(&d->metrics);
     CW_INVARIANT(cw_commit_init(d) == CW_OK);
-    return d;
 }
 
 static void
@@ -495,7 +494,7 @@
     cw_rng_init(&w->rng, p->seed);
     w->workers = calloc(p->workers, sizeof(*w->workers));
     CW_INVARIANT(w->workers != NULL);
-    (void)world_daemon(w);
+    init_daemon(w);
     begin_scheduling(w);
     for (size_t i = 0; i < p->workers; i++) {
         char name[TASK_NAME_MAX];
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -51,6 +51,8 @@
 /* The worker restarted under its id: it holds no earlier run or end. */
 void cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
                                int64_t born, cw_ms now);
+/* Removes the worker from the workers of its VM. */
+void cw_worker_leave_vm(struct cw_sched *s, struct cw_worker *w);
 /* Ends up to ack_pending wait for the commit of ack_batch. */
 void cw_worker_await_ack(struct cw_sched *s, struct cw_worker *w);
 /* Assigns a task to a worker, and removes it from there. */
--- a/packages/jobs/jobs.c
+++ b/packages/jobs/jobs.c
@@ -125,12 +125,7 @@
             struct cw_worker *w = p->workers;
 
             p->workers = w->next;
-            if (w->vm_workers != NULL) {
-                w->vm_workers->list = w->vm_next;
-                if (w->vm_next == NULL) {
-                    free(w->vm_workers);
-                }
-            }
+            cw_worker_leave_vm(s, w);
             free(w);
         }
         free(p);
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -90,8 +90,8 @@
 
 /* ---- the workers of a VM ---- */
 
-static void
-leave_vm(struct cw_sched *s, struct cw_worker *w)
+void
+cw_worker_leave_vm(struct cw_sched *s, struct cw_worker *w)
 {
     struct cw_vm_workers *v = w->vm_workers;
     struct cw_worker **link;
@@ -117,7 +117,7 @@
     if (w->vm_workers != NULL && cw_name_eq(&w->vm, vm)) {
         return;
     }
-    leave_vm(s, w);
+    cw_worker_leave_vm(s, w);
     w->vm = *vm;
     if (vm->len == 0) {
         return;
@@ -544,7 +544,7 @@
                 now - w->gone_at > GONE_RETENTION_MS) {
                 drop(s->ctx, w);
                 drop_ack(s, w);
-                leave_vm(s, w);
+                cw_worker_leave_vm(s, w);
                 (void)cw_map_remove(&s->workers, cw_name_str(&w->id));
                 pool_remove_worker(w);
                 free(w);
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -321,6 +321,34 @@
     assert_int_equal(p->arrived_jobs, 1);
 }
 
+/* A VM that moved has a worker in each of two pools for some seconds. The
+ * scheduler can end in that time, whichever pool is freed first; a wrong order
+ * shows under AddressSanitizer. */
+static void
+test_end_with_moved_vms(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *id;
+        const char *vm;
+        const char *service;
+    } cases[] = {{"i-0", "vm1", "a"},
+                 {"i-1", "vm2", "b"}, /* the older one of vm2 */
+                 {"i-2", "vm2", "a"},
+                 {"i-3", "vm1", "b"}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_worker_entry e = {.born_wall = 1000 + (int64_t)i};
+
+        (void)cw_name_set(&e.id, cw_str_from(cases[i].id));
+        (void)cw_name_set(&e.vm, cw_str_from(cases[i].vm));
+        (void)cw_name_set(&e.service, cw_str_from(cases[i].service));
+        assert_non_null(cw_sched_worker_listed(&f.s, &e, f.now));
+    }
+    jobs_take_over(&f);
+    assert_null(cw_sched_find_worker(&f.s, CW_LIT("i-0")));
+}
+
 /* Records that cannot be decoded are rejected as a whole. */
 static void
 test_bad_records(void **state)
@@ -364,6 +392,8 @@
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_kv, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_end_with_moved_vms, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_loaded_jobs_are_no_arrivals,
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_bad_records, setup, teardown),
