--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -89,9 +89,6 @@
 struct daemon *store_owner(void);
 bool wait_owner(struct daemon *d, long long timeout);
 const char *daemon_name(const struct daemon *d);
-/* Highest epoch that the store has seen of a producer. */
-long long store_epoch(void);
-long long store_appends(void); /* in that epoch */
 
 /* ---- clients ---- */
 
