--- a/review/lib/daemon.c
+++ b/review/lib/daemon.c
@@ -58,7 +58,7 @@
 daemon_new(const char *name)
 {
     struct daemon *d = calloc(1, sizeof(*d));
-    char path[128];
+    char path[256];
     FILE *f;
 
     snprintf(d->name, sizeof(d->name), "%s", name);
@@ -87,7 +87,7 @@
 void
 daemon_start(struct daemon *d)
 {
-    char settings[160];
+    char settings[256];
     char log[600];
     pid_t parent = getpid();
 
@@ -193,7 +193,7 @@
 void
 remove_daemon_files(void)
 {
-    char path[128];
+    char path[256];
 
     for (int i = 0; i < daemon_count; i++) {
         snprintf(path, sizeof(path), "%s/%s.json", rig_scratch, daemons[i]->name);
--- a/review/lib/rig.c
+++ b/review/lib/rig.c
@@ -12,7 +12,7 @@
 
 pthread_mutex_t rig_lock = PTHREAD_MUTEX_INITIALIZER;
 pthread_cond_t rig_changed;
-char rig_scratch[64];
+char rig_scratch[200];
 long long rig_started_at;
 static FILE *record;
 
@@ -98,6 +98,7 @@
 void
 rig_init(int argc, char **argv)
 {
+    const char *tmp = getenv("TMPDIR");
     char path[600];
     pthread_condattr_t attr;
     pthread_t t;
@@ -105,9 +106,10 @@
     rig_started_at = clock_ms(CLOCK_MONOTONIC);
     snprintf(path, sizeof(path), "%s/record.txt", argc > 1 ? argv[1] : ".");
     record = fopen(path, "w");
-    snprintf(rig_scratch, sizeof(rig_scratch), "/tmp/review.XXXXXX");
-    if (record == NULL || mkdtemp(rig_scratch) == NULL ||
-        access("target/cuminwalkd", X_OK) != 0) {
+    snprintf(rig_scratch, sizeof(rig_scratch), "%s/review.XXXXXX",
+             tmp == NULL ? P_tmpdir : tmp);
+    if (record == NULL || access("target/cuminwalkd", X_OK) != 0 ||
+        mkdtemp(rig_scratch) == NULL) {
         fprintf(stderr, "cannot run: %s\n", strerror(errno));
         exit(2);
     }
--- a/review/lib/rig_int.h
+++ b/review/lib/rig_int.h
@@ -10,7 +10,7 @@
  * changes. */
 extern pthread_mutex_t rig_lock;
 extern pthread_cond_t rig_changed;
-extern char rig_scratch[64]; /* temporary folder */
+extern char rig_scratch[200]; /* temporary folder */
 extern long long rig_started_at;
 
 /* ---- http.c ---- */
