--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -234,7 +234,7 @@
     }
     t = order_task(o);
     if (s == CW_ERR_NOT_FOUND) {
-        cw_sched_worker_lost(d->sched, a->worker, now);
+        cw_sched_worker_lost(d->sched, a->worker, CW_LOSS_OTHER, now);
         free(o);
     }
     else if (s == CW_OK && o->kind == ORDER_STOP) {
@@ -270,6 +270,7 @@
     };
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
+    cw_member_count_unproved(d, "start");
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
 }
 
@@ -327,9 +328,13 @@
     if (a == NULL) {
         return;
     }
-    cw_log(CW_DEBUG, "start", "job=%016llx task=%u.%u.%u run=%u worker=%s",
+    cw_log(row.run > 1 ? CW_INFO : CW_DEBUG, "start",
+           "job=%016llx task=%u.%u.%u run=%u worker=%s born=%lld epoch=%llu "
+           "member_left_ms=%lld",
            (unsigned long long)row.job, row.occurrence, row.step, row.index,
-           row.run, t->worker->id.text);
+           row.run, t->worker->id.text, (long long)t->worker->born_wall,
+           (unsigned long long)d->epoch,
+           (long long)(d->member_valid_until - cw_jobd_now(d)));
     (void)new_order(a, ORDER_START, &row);
     send_due_orders(a, cw_jobd_now(d));
 }
@@ -379,6 +384,8 @@
 {
     struct cw_jobd *d = ctx;
 
+    cw_log(CW_DEBUG, "ends_noted", "worker=%s born=%lld through=%llu",
+           w->id.text, (long long)w->born_wall, (unsigned long long)w->acked);
     if (w->agent != NULL) {
         send_report_if_due(w->agent, cw_jobd_now(d));
     }
@@ -401,7 +408,7 @@
     }
     a->report_due = now + REPORT_RETRY_MS;
     if (s == CW_ERR_NOT_FOUND) {
-        cw_sched_worker_lost(d->sched, w, now);
+        cw_sched_worker_lost(d->sched, w, CW_LOSS_OTHER, now);
     }
     else if (s == CW_ERR_UNAVAILABLE) {
         cw_sched_worker_conn_refused(d->sched, w, now);
@@ -480,6 +487,9 @@
     a->reporting = true;
     a->report_sent = now;
     a->report_acked = w->acked;
+    if (until > 0) {
+        cw_member_count_unproved(d, "renewal");
+    }
     d->ports.exec.poll(a->conn, until, d->epoch, w->acked, wait,
                        wait + REPORT_MARGIN_MS, on_report, a);
 }
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -120,6 +120,7 @@
     bool leaving;
     cw_ms next_join_at;
     cw_ms member_valid_until; /* guaranteed at least until then */
+    bool membership_expired;  /* while this daemon schedules; logged */
     bool store_ok;
     struct cw_name scheduler; /* its peer address, "" while unknown */
     struct cw_name scheduler_logged;
@@ -262,6 +263,8 @@
 /* This daemon is the scheduler and its membership cannot have expired, so that
  * it may send orders that the store does not fence. */
 bool cw_member_lease_valid(const struct cw_jobd *d, cw_ms now);
+/* Counts an order or answer that is sent while this is false. */
+void cw_member_count_unproved(struct cw_jobd *d, const char *kind);
 
 /* ---- commit.c ---- */
 
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -44,6 +44,14 @@
     return d->role == CW_ROLE_SCHEDULER && now < d->member_valid_until;
 }
 
+void
+cw_member_count_unproved(struct cw_jobd *d, const char *kind)
+{
+    if (!cw_member_lease_valid(d, cw_jobd_now(d))) {
+        cw_jobd_count(d, "cuminwalk_unproved_total", kind);
+    }
+}
+
 void
 cw_member_step_down(struct cw_jobd *d, const char *why)
 {
@@ -187,8 +195,10 @@
     d->sequence = 0;
     cw_sched_init(d->sched, &limits, &cw_agent_ops, d);
     d->sched->wall_offset = d->clock.wall(d->clock.ctx) - now;
-    cw_log(CW_INFO, "takeover", "epoch=%llu former=%s",
-           (unsigned long long)d->epoch, d->scheduler.text);
+    cw_log(CW_INFO, "takeover",
+           "epoch=%llu generation=%llu attempt=%llu former=%s",
+           (unsigned long long)d->epoch, (unsigned long long)d->generation,
+           (unsigned long long)d->takeover_attempts, d->scheduler.text);
     d->ports.store.append(d->ports.ctx, &empty, d->epoch, d->sequence,
                           STORE_TIMEOUT_MS, on_epoch_set, cw_term_ctx_new(d));
 }
@@ -386,9 +396,30 @@
     leave_group(d);
 }
 
+/* Logs when the scheduler's membership runs out or is renewed after that:
+ * another daemon may schedule in between. */
+static void
+watch_validity(struct cw_jobd *d, cw_ms now)
+{
+    bool expired =
+        d->role == CW_ROLE_SCHEDULER && !cw_member_lease_valid(d, now);
+
+    if (expired == d->membership_expired) {
+        return;
+    }
+    d->membership_expired = expired;
+    cw_log(expired ? CW_WARN : CW_INFO,
+           expired ? "membership_expired" : "membership_renewed",
+           "epoch=%llu generation=%llu over_ms=%lld scheduler=%d",
+           (unsigned long long)d->epoch, (unsigned long long)d->generation,
+           (long long)(now - d->member_valid_until),
+           d->role == CW_ROLE_SCHEDULER);
+}
+
 void
 cw_member_tick(struct cw_jobd *d, cw_ms now)
 {
+    watch_validity(d, now);
     if (d->in_group && d->joins_in_flight < JOINS_IN_FLIGHT_MAX &&
         !d->leaving && now >= d->next_join_at) {
         send_join(d, now);
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -105,6 +105,19 @@
     CW_RUN_DONE,
 };
 
+/* Why a run no longer counts as alive, so that its task waits again. */
+enum cw_run_loss {
+    CW_LOSS_ENDED,       /* the worker reported its end */
+    CW_LOSS_UNSENT,      /* its start was dropped before it was sent */
+    CW_LOSS_REFUSED,     /* the worker refused its start */
+    CW_LOSS_UNLISTED,    /* a report does not list it */
+    CW_LOSS_LAPSED,      /* its lease has lapsed */
+    CW_LOSS_RESTARTED,   /* its worker has restarted under its id */
+    CW_LOSS_REPLACED,    /* a later worker of its VM is listed */
+    CW_LOSS_OTHER,       /* another worker answers at the address */
+    CW_LOSS_UNREACHABLE, /* not listed, and connections are refused */
+};
+
 struct cw_job_entry;
 struct cw_worker;
 
@@ -456,7 +469,8 @@
 /* The worker's entry is no longer in the list. */
 void cw_sched_worker_gone(struct cw_sched *s, struct cw_str id, cw_ms now);
 /* All runs on the worker are known to have ended: requeues their tasks. */
-void cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w, cw_ms now);
+void cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w,
+                          enum cw_run_loss why, cw_ms now);
 /* Removes workers that are gone and have no tasks; calls drop before each
  * removal. */
 void cw_sched_sweep_workers(struct cw_sched *s, cw_ms now,
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -46,8 +46,10 @@
 
 /* Changes the state of a task, and the counters of its job. */
 void cw_task_set_state(struct cw_task *t, enum cw_run_state st);
-/* The run ended without success: the task waits again. */
-void cw_task_requeue(struct cw_sched *s, struct cw_task *t, cw_ms now);
+/* The run ended without success: the task waits again. Logs each run whose
+ * end the worker has not reported. */
+void cw_task_requeue(struct cw_sched *s, struct cw_task *t,
+                     enum cw_run_loss why, cw_ms now);
 /* The worker restarted under its id: it holds no earlier run or end. */
 void cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
                                int64_t born, cw_ms now);
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -126,7 +126,7 @@
     t->failures++;
     t->avoid_worker = t->worker->id;
     record_worker_outcome(t->worker, j, false, now);
-    cw_task_requeue(s, t, now);
+    cw_task_requeue(s, t, CW_LOSS_ENDED, now);
     if (!cw_job_ended(j) && !cw_task_step(t)->lasting &&
         j->spec.rules.max_attempts > 0 &&
         failure_count(t) >= j->spec.rules.max_attempts) {
@@ -144,7 +144,7 @@
 
     record_worker_outcome(t->worker, j, true, now);
     if (cw_task_step(t)->lasting) {
-        cw_task_requeue(s, t, now);
+        cw_task_requeue(s, t, CW_LOSS_ENDED, now);
         return;
     }
     if (t->state == CW_RUN_RUNNING && t->checkpoint[0] == '\0') {
@@ -212,7 +212,7 @@
     case CW_END_LAPSED:
     case CW_END_BROKEN:
     case CW_END_ALONE:
-        cw_task_requeue(s, t, now);
+        cw_task_requeue(s, t, CW_LOSS_ENDED, now);
         break;
     }
 }
@@ -280,11 +280,7 @@
         struct cw_task *next = t->next;
 
         if (t->last_report != w->reports && run_is_over(t, r)) {
-            cw_log(CW_INFO, "run_vanished",
-                   "job=%016llx task=%u.%u.%u run=%u worker=%s",
-                   (unsigned long long)t->job->id, t->occurrence, t->step,
-                   t->index, t->run, w->id.text);
-            cw_task_requeue(s, t, now);
+            cw_task_requeue(s, t, CW_LOSS_UNLISTED, now);
         }
         t = next;
     }
@@ -336,7 +332,7 @@
     }
     w->refusals++;
     w->retry_at = now + pause;
-    cw_task_requeue(s, t, now);
+    cw_task_requeue(s, t, CW_LOSS_REFUSED, now);
 }
 
 /* Members of an incomplete gang would wait for the missing one: stops the
@@ -365,7 +361,7 @@
     struct cw_task *t = cw_sched_find_task(s, r);
 
     if (a == CW_START_OTHER_INCARNATION) {
-        cw_sched_worker_lost(s, w, now);
+        cw_sched_worker_lost(s, w, CW_LOSS_OTHER, now);
         return;
     }
     if (t == NULL || t->worker != w || t->run != r->run) {
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -230,9 +230,33 @@
                                .run = t->run};
 }
 
+static void
+log_run_given_up(const struct cw_task *t, enum cw_run_loss why, cw_ms now)
+{
+    static const char *const reasons[] = {
+        "ended",     "unsent",   "refused",      "unlisted",   "lapsed",
+        "restarted", "replaced", "other_worker", "unreachable"};
+    static const char *const states[] = {"waiting", "starting", "running",
+                                         "stopping", "done"};
+    const struct cw_worker *w = t->worker;
+
+    cw_log(CW_INFO, "run_given_up",
+           "job=%016llx task=%u.%u.%u run=%u worker=%s born=%lld reason=%s "
+           "state=%s state_ms=%lld silent_ms=%lld lease_left_ms=%lld",
+           (unsigned long long)t->job->id, t->occurrence, t->step, t->index,
+           t->run, w->id.text, (long long)w->born_wall, reasons[why],
+           states[t->state], (long long)(now - t->state_since),
+           (long long)(w->seen_at == 0 ? -1 : now - w->seen_at),
+           (long long)(w->lapse_at - now));
+}
+
 void
-cw_task_requeue(struct cw_sched *s, struct cw_task *t, cw_ms now)
+cw_task_requeue(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
+                cw_ms now)
 {
+    if (why != CW_LOSS_ENDED && why != CW_LOSS_UNSENT && t->worker != NULL) {
+        log_run_given_up(t, why, now);
+    }
     cw_task_unplace(s, t, now);
     cw_task_set_state(t, CW_RUN_WAITING);
     t->state_since = now;
@@ -267,7 +291,7 @@
         /* The start is not sent yet: drop it. */
         unlink_unsent(s, t);
         t->unsent_next = NULL;
-        cw_task_requeue(s, t, now);
+        cw_task_requeue(s, t, CW_LOSS_UNSENT, now);
         return;
     }
     cw_task_set_state(t, CW_RUN_STOPPING);
@@ -279,14 +303,15 @@
 }
 
 void
-cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w,
+                     enum cw_run_loss why, cw_ms now)
 {
     while (w->tasks != NULL) {
         struct cw_task *t = w->tasks;
 
         unlink_unsent(s, t);
         t->unsent_next = NULL;
-        cw_task_requeue(s, t, now);
+        cw_task_requeue(s, t, why, now);
     }
 }
 
@@ -340,7 +365,7 @@
                 cw_log(CW_WARN, "leases_lapsed",
                        "worker=%s tasks=%u silent_ms=%lld", w->id.text,
                        w->task_count, (long long)(now - w->seen_at));
-                cw_sched_worker_lost(s, w, now);
+                cw_sched_worker_lost(s, w, CW_LOSS_LAPSED, now);
             }
         }
     }
@@ -353,7 +378,7 @@
     if (w->born_wall != 0) {
         cw_log(CW_INFO, "worker_restarted", "worker=%s born=%lld was=%lld",
                w->id.text, (long long)born, (long long)w->born_wall);
-        cw_sched_worker_lost(s, w, now);
+        cw_sched_worker_lost(s, w, CW_LOSS_RESTARTED, now);
         w->ack_pending = 0;
         w->acked = 0;
         w->clock_at = 0;
@@ -410,7 +435,7 @@
         if (o != w && o->state != CW_WORKER_GONE &&
             o->born_wall < w->born_wall) {
             cw_sched_worker_gone(s, cw_name_str(&o->id), now);
-            cw_sched_worker_lost(s, o, now);
+            cw_sched_worker_lost(s, o, CW_LOSS_REPLACED, now);
         }
     }
 }
@@ -496,7 +521,7 @@
     if (w->state == CW_WORKER_GONE && w->tasks != NULL) {
         cw_log(CW_INFO, "worker_ended", "worker=%s tasks=%u", w->id.text,
                w->task_count);
-        cw_sched_worker_lost(s, w, now);
+        cw_sched_worker_lost(s, w, CW_LOSS_UNREACHABLE, now);
     }
 }
 
