--- a/tests/test_odd_answers.c
+++ b/tests/test_odd_answers.c
@@ -251,6 +251,38 @@
     }
 }
 
+/* Guards against a page that is read for ever, or a request that the store
+ * refuses: the last key of a page was put into the URL as it was. */
+static void
+test_last_key_is_escaped(void **state)
+{
+    (void)state;
+    static const struct {
+        struct cw_str key;
+        const char *expect;
+    } cases[] = {
+        {CW_LIT("i-90c4"), "&after=i-90c4 HTTP/1.1\r\n"},
+        {CW_LIT("wave/12"), "&after=wave/12 HTTP/1.1\r\n"},
+        {CW_LIT("a b"), "&after=a%20b HTTP/1.1\r\n"},
+        {CW_LIT("a&part=1"), "&after=a%26part%3D1 HTTP/1.1\r\n"},
+        {CW_LIT("100%"), "&after=100%25 HTTP/1.1\r\n"},
+        {CW_LIT("a?#+;"), "&after=a%3F%23%2B%3B HTTP/1.1\r\n"},
+        {CW_LIT("a\0b\r\n"), "&after=a%00b%0D%0A HTTP/1.1\r\n"},
+        {CW_LIT("\xff\xc3\xa9"), "&after=%FF%C3%A9 HTTP/1.1\r\n"},
+    };
+    int failures = 0;
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        (void)read_newest(CW_LIT(PAGE(SOUND_ITEM("w-c"))), cases[i].key);
+        if (strstr(request, cases[i].expect) == NULL) {
+            print_error("case %zu: %.*s\n", i, (int)strcspn(request, "\r\n"),
+                        request);
+            failures++;
+        }
+    }
+    assert_int_equal(failures, 0);
+}
+
 #define HEADER "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0"
 #define SOUND_RECORD "\0\0\0\x09\x03w-bsound"
 
@@ -288,6 +320,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_newest_page_with_an_odd_item),
         cmocka_unit_test(test_newest_page_that_is_unreadable),
+        cmocka_unit_test(test_last_key_is_escaped),
         cmocka_unit_test(test_log_page_with_an_odd_record),
     };
 
