--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -181,6 +181,7 @@
 {
     struct cw_worker_entry e;
     struct cw_worker *w;
+    char key[CW_QUOTED_MAX];
 
     if (r->value.len == 0) {
         cw_sched_worker_gone(d->sched, r->key, now);
@@ -188,8 +189,8 @@
     }
     if (d->ports.worker_decode(r->key, r->value, &e, d->msg) != CW_OK) {
         cw_jobd_count(d, "cuminwalk_worker_entries_invalid_total", "");
-        cw_log(CW_DEBUG, "worker_entry_invalid", "key=%.*s reason=\"%s\"",
-               (int)(r->key.len > 60 ? 60 : r->key.len), r->key.ptr, d->msg);
+        cw_log(CW_DEBUG, "worker_entry_invalid", "key=%s reason=\"%s\"",
+               cw_quoted(key, r->key), d->msg);
         return;
     }
     w = cw_sched_worker_listed(d->sched, &e, now);
