Continue after a key that is longer than a name

Callers saw: one record under a key of more than 63 bytes, as the last of a page of the list of workers, and a scheduler that took over read this page for ever, at the full rate of its loop, and learned no worker of the later pages nor of the log. Among the operators' records it hid waves and, on a daemon that started, the configuration.

Cause: the last key of a page was kept as a name, of at most 63 bytes. A longer one was not kept, and the next read was the same again. A key may have 255 bytes.

Evidence: tests/test_worker_list.c, before the change (20 reads is where the test gives up, 2 are needed):

--- 0x14 != 0x2 [ FAILED ] test_long_key_ends_a_page --- 0x14 != 0x2 [ FAILED ] test_long_operator_key_ends_a_page --- d.workers_loaded [ FAILED ] test_page_repeats

Change: the key after which a read continues has its own type with room for any key. A page that would be returned again (the same last key, or an empty one) ends the load of operators' records and of workers; both are then followed from the log. The load of the jobs, whose keys are the scheduler's own, is not cut short by this.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -107,7 +107,7 @@
     bool operators_loaded; /* all records; then changes are read */
     bool operators_reading;
     uint64_t operators_next_offset;
-    struct cw_name operators_after_key; /* last key of the pages loaded */
+    struct cw_store_key operators_after_key; /* last key of the pages loaded */
     cw_ms operators_retry_at;
     uint64_t operators_read; /* number of the latest read */
     cw_ms operators_read_at;
@@ -161,7 +161,7 @@
     uint64_t workers_next_offset;
     cw_ms workers_read_due;
     cw_ms workers_load_began;
-    struct cw_name load_after_key; /* last key of the pages loaded */
+    struct cw_store_key load_after_key; /* last key of the pages loaded */
     cw_ms next_sweep_at;
 
     /* Calls. */
@@ -274,6 +274,10 @@
 
 /* ---- watch.c ---- */
 
+/* Continues after a page. False when it was the last one, or when the store
+ * would return the same page again. */
+bool cw_watch_next_page(struct cw_store_key *after,
+                        const struct cw_store_page *p);
 void cw_watch_operators(struct cw_jobd *d, cw_ms now);
 /* Reads again at once: a record is missing although a read waits for it. */
 void cw_watch_operators_again(struct cw_jobd *d);
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -125,9 +125,9 @@
                    CW_FMT(p->records[i].key), p->records[i].value.len,
                    cw_status_name(st));
         }
-        (void)cw_name_set(&d->load_after_key, p->records[i].key);
     }
     if (p->more && p->count > 0) {
+        (void)cw_watch_next_page(&d->load_after_key, p);
         load_jobs_page(d);
         return;
     }
@@ -137,9 +137,11 @@
 static void
 load_jobs_page(struct cw_jobd *d)
 {
-    d->ports.store.read_latest(
-        d->ports.ctx, CW_STREAM_JOBS, cw_name_str(&d->load_after_key),
-        STORE_TIMEOUT_MS, on_jobs_page, cw_term_ctx_new(d));
+    struct cw_str after = {d->load_after_key.text, d->load_after_key.len};
+
+    d->ports.store.read_latest(d->ports.ctx, CW_STREAM_JOBS, after,
+                               STORE_TIMEOUT_MS, on_jobs_page,
+                               cw_term_ctx_new(d));
 }
 
 static void
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -20,6 +20,28 @@
 /* The same while VMs are moving into a pool. */
 #define WORKERS_POLL_MOVING_MS 100
 
+/* ---- pages ---- */
+
+bool
+cw_watch_next_page(struct cw_store_key *after, const struct cw_store_page *p)
+{
+    struct cw_str key;
+
+    if (!p->more || p->count == 0) {
+        return false;
+    }
+    key = p->records[p->count - 1].key;
+    if (key.len > CW_STORE_KEY_MAX ||
+        cw_str_eq(key, (struct cw_str){after->text, after->len})) {
+        return false;
+    }
+    if (key.len > 0) {
+        memcpy(after->text, key.ptr, key.len);
+    }
+    after->len = key.len;
+    return true;
+}
+
 /* ---- operators ---- */
 
 static void
@@ -125,9 +147,7 @@
         /* Changes made while the pages load are read from this offset. */
         d->operators_next_offset = p->next;
     }
-    if (p->more && p->count > 0) {
-        (void)cw_name_set(&d->operators_after_key,
-                          p->records[p->count - 1].key);
+    if (cw_watch_next_page(&d->operators_after_key, p)) {
         return;
     }
     d->operators_loaded = true;
@@ -167,8 +187,10 @@
             on_operator_records, c);
     }
     else {
-        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS,
-                                   cw_name_str(&d->operators_after_key),
+        struct cw_str after = {d->operators_after_key.text,
+                               d->operators_after_key.len};
+
+        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS, after,
                                    STORE_TIMEOUT_MS, on_operator_records, c);
     }
 }
@@ -245,9 +267,7 @@
             d->workers_next_offset = p->next;
             d->workers_load_began = now;
         }
-        if (p->more && p->count > 0) {
-            (void)cw_name_set(&d->load_after_key,
-                              p->records[p->count - 1].key);
+        if (cw_watch_next_page(&d->load_after_key, p)) {
             d->workers_read_due = now;
             return;
         }
@@ -277,8 +297,10 @@
                             cw_term_ctx_new(d));
     }
     else {
-        d->ports.store.read_latest(
-            d->ports.ctx, CW_STREAM_WORKERS, cw_name_str(&d->load_after_key),
-            STORE_TIMEOUT_MS, on_worker_records, cw_term_ctx_new(d));
+        struct cw_str after = {d->load_after_key.text, d->load_after_key.len};
+
+        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_WORKERS, after,
+                                   STORE_TIMEOUT_MS, on_worker_records,
+                                   cw_term_ctx_new(d));
     }
 }
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -28,6 +28,15 @@
     struct cw_str value; /* empty: the key was deleted */
 };
 
+/* A key that any writer may have chosen: 255 bytes, up to three times as many
+ * where read_latest replaced what is not text. */
+#define CW_STORE_KEY_MAX 768
+
+struct cw_store_key {
+    size_t len;
+    char text[CW_STORE_KEY_MAX];
+};
+
 /* Encoded records of one append. */
 struct cw_store_batch {
     struct cw_buf bytes;
--- a/tests/test_worker_list.c
+++ b/tests/test_worker_list.c
@@ -15,6 +15,7 @@
 #include "platform_int.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define ROUNDS_MAX 20
 
 /* ---- a daemon that schedules, without a loop or a network ---- */
 
@@ -357,6 +358,100 @@
     assert_int_equal(failures, 0);
 }
 
+/* ---- pages ---- */
+
+/* A store that returns one record a page. Returns the number of reads until
+ * the records count as loaded, ROUNDS_MAX when they never do. */
+static size_t
+load_pages(void (*watch)(struct cw_jobd *d, cw_ms now), const bool *loaded,
+           const struct cw_store_record *rows, size_t count)
+{
+    size_t reads = 0;
+
+    while (!*loaded && reads < ROUNDS_MAX) {
+        struct cw_str after = {read_call.after, 0};
+        size_t i = 0;
+
+        f.now += 1000;
+        watch(&d, f.now);
+        after.len = read_call.after_len;
+        while (i < count && cw_str_cmp(rows[i].key, after) <= 0 &&
+               after.len > 0) {
+            i++;
+        }
+        answer(rows + i, i < count ? 1 : 0, i + 1 < count);
+        reads++;
+    }
+    return reads;
+}
+
+/* Guards against a scheduler that never gets past a page whose last key is
+ * longer than a worker's id may be, and so never knows any worker. */
+static void
+test_long_key_ends_a_page(void **state)
+{
+    (void)state;
+    char text[256];
+    struct cw_store_record rows[] = {
+        {{text, 255}, CW_LIT("null")},
+        {CW_LIT("w-b"), {sound_b, sizeof(sound_b) - 1}},
+    };
+
+    memset(text, 'k', sizeof(text));
+    begin();
+    assert_int_equal(
+        load_pages(cw_watch_workers, &d.workers_loaded, rows, COUNT(rows)), 2);
+    assert_non_null(cw_sched_find_worker(&f.s, CW_LIT("w-b")));
+    end();
+}
+
+/* Guards against the same with the operators' records, where it hides waves
+ * and, on a daemon that starts, the configuration. */
+static void
+test_long_operator_key_ends_a_page(void **state)
+{
+    (void)state;
+    char text[256];
+    struct cw_store_record rows[] = {
+        {{text, 255}, CW_LIT("null")},
+        {CW_LIT("wave/1"),
+         CW_LIT("{\"wave\":1,\"machines\":[],\"durationS\":9,"
+                "\"maxCount\":1}")},
+    };
+
+    memset(text, 'k', sizeof(text));
+    begin();
+    assert_int_equal(
+        load_pages(cw_watch_operators, &d.operators_loaded, rows, COUNT(rows)),
+        2);
+    assert_int_equal(d.wave_count, 1);
+    free(d.waves[0].vms);
+    free(d.waves);
+    end();
+}
+
+/* A key after which the store returns the same page again ends the load
+ * instead of repeating it for ever; the log is followed from its offset. */
+static void
+test_page_repeats(void **state)
+{
+    (void)state;
+    const struct cw_store_record row = {CW_LIT(""), CW_LIT("null")};
+
+    begin();
+    for (int i = 0; i < 3 && !d.workers_loaded; i++) {
+        cw_watch_workers(&d, f.now);
+        answer(&row, 1, true);
+    }
+    assert_true(d.workers_loaded);
+    f.now += 1000;
+    cw_watch_workers(&d, f.now);
+    assert_false(read_call.latest);
+    assert_int_equal(read_call.from, 7);
+    answer(NULL, 0, false);
+    end();
+}
+
 int
 main(void)
 {
@@ -365,6 +460,9 @@
         cmocka_unit_test(test_odd_entry_with_key_of_a_worker),
         cmocka_unit_test(test_unusual_entries_are_used),
         cmocka_unit_test(test_odd_keys),
+        cmocka_unit_test(test_long_key_ends_a_page),
+        cmocka_unit_test(test_long_operator_key_ends_a_page),
+        cmocka_unit_test(test_page_repeats),
     };
 
     cw_logger_setup(CW_ERROR + 1, stderr, NULL);
