Ignore an entry whose worker would start in the far future

Callers saw: LOST and TWICE. An entry with a born far in the future, such as one in microseconds, ended the runs of the machine that it named, or, with the key of a runner, of that runner. From then on the runner's own reports and entries counted as those of an earlier incarnation and were ignored, for ever.

Cause: cw_sched_worker_listed takes the largest born for the newest incarnation, whatever its value.

Evidence: tests/test_worker_list.c, before the change, with each of two keys:

born 2^63 - 1: the runs of another worker were given up born in microseconds: the runs of another worker were given up [ FAILED ] test_odd_entry_names_no_worker [ FAILED ] test_odd_entry_with_key_of_a_worker

The check is in the scheduler, which knows the time; it runs before the entry adds a pool or a worker. An hour between two clocks is a case of test_unusual_entries_are_used, which passes.

--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -449,7 +449,8 @@
 struct cw_pool *cw_sched_get_pool(struct cw_sched *s, struct cw_str service);
 struct cw_worker *cw_sched_find_worker(const struct cw_sched *s,
                                        struct cw_str id);
-/* Adds or updates a worker from its entry in the list. */
+/* Adds or updates a worker from its entry in the list. NULL when the entry
+ * cannot be a worker's: it was born far in the future. */
 struct cw_worker *cw_sched_worker_listed(struct cw_sched *s,
                                          const struct cw_worker_entry *e,
                                          cw_ms now);
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -12,6 +12,10 @@
 /* A previous scheduler may go on renewing leases until its membership of the
  * group expires. */
 #define PREVIOUS_SCHEDULER_MS 1500
+/* An entry born later than this after now is no worker's: it would end the
+ * earlier incarnations of its VM, and hide the later ones. The clocks of the
+ * worker and of this daemon may differ. */
+#define BORN_AHEAD_MAX_MS ((cw_ms)24 * 3600 * 1000)
 
 struct cw_pool *
 cw_sched_get_pool(struct cw_sched *s, struct cw_str service)
@@ -436,10 +440,17 @@
 cw_sched_worker_listed(struct cw_sched *s, const struct cw_worker_entry *e,
                        cw_ms now)
 {
-    struct cw_pool *p = cw_sched_get_pool(s, cw_name_str(&e->service));
+    struct cw_pool *p;
     struct cw_worker *w;
     uint8_t state = e->draining ? CW_WORKER_DRAINING : CW_WORKER_READY;
 
+    if (e->born_wall > now + s->wall_offset + BORN_AHEAD_MAX_MS) {
+        cw_log(CW_DEBUG, "worker_entry_invalid",
+               "key=%s reason=\"born in the future\" born=%lld", e->id.text,
+               (long long)e->born_wall);
+        return NULL;
+    }
+    p = cw_sched_get_pool(s, cw_name_str(&e->service));
     if (p == NULL) {
         return NULL;
     }
--- a/tests/test_worker_list.c
+++ b/tests/test_worker_list.c
@@ -199,7 +199,9 @@
     {"born 1e300", BORN("1e300"), NULL, 0, ""},
     {"born -1e300", BORN("-1e300"), NULL, 0, ""},
     {"born 1e400", BORN("1e400"), NULL, 0, ""},
+    {"born 2^63 - 1", BORN("9223372036854775807"), NULL, 0, ""},
     {"born 2^63", BORN("9223372036854775808"), NULL, 0, ""},
+    {"born in microseconds", BORN("1764864000000000"), NULL, 0, ""},
 };
 
 static struct cw_buf
