Ignore an entry whose service no configuration names

Callers saw: LOST and TWICE. An entry with a service that does not exist, and the machine or the key of a runner, ended the runner's runs as its next incarnation; without them it was used as a worker and added a pool.

Cause: the scheduler adds a pool for whatever service an entry names.

Evidence: tests/test_worker_list.c, before the change, with each of two keys:

service unknown: the runs of another worker were given up [ FAILED ] test_odd_entry_names_no_worker [ FAILED ] test_odd_entry_with_key_of_a_worker [ FAILED ] test_services_that_are_known

Change: while a configuration is known, an entry's service must be one of its services, the service of one of its routes, or have a pool already, as one that a later configuration dropped has. A worker of a service that is added later is used from its next heartbeat on, which is a record of its own in the log. The check is in the daemon, which has the configuration.

--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -197,6 +197,40 @@
 
 /* ---- workers ---- */
 
+/* A service that has a pool already stays known when a later configuration no
+ * longer names it: its workers may still run tasks. */
+static bool
+is_known_service(const struct cw_jobd *d, const struct cw_name *service)
+{
+    if (d->config.version == 0 ||
+        cw_map_get(&d->sched->pools, cw_name_str(service)) != NULL) {
+        return true;
+    }
+    for (size_t i = 0; i < d->config.service_count; i++) {
+        if (cw_name_eq(&d->config.services[i].service, service)) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < d->config.route_count; i++) {
+        if (cw_name_eq(&d->config.routes[i].rules.service, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static enum cw_status
+decode_worker(struct cw_jobd *d, const struct cw_store_record *r,
+              struct cw_worker_entry *out)
+{
+    enum cw_status st = d->ports.worker_decode(r->key, r->value, out, d->msg);
+
+    if (st == CW_OK && !is_known_service(d, &out->service)) {
+        return cw_fail(d->msg, CW_ERR_INVALID, "no such service");
+    }
+    return st;
+}
+
 static void
 apply_worker_record(struct cw_jobd *d, const struct cw_store_record *r,
                     cw_ms now)
@@ -209,7 +243,7 @@
         cw_sched_worker_gone(d->sched, r->key, now);
         return;
     }
-    if (d->ports.worker_decode(r->key, r->value, &e, d->msg) != CW_OK) {
+    if (decode_worker(d, r, &e) != CW_OK) {
         cw_jobd_count(d, "cuminwalk_worker_entries_invalid_total", "");
         cw_log(CW_DEBUG, "worker_entry_invalid", "key=%s reason=\"%s\"",
                cw_quoted(key, r->key), d->msg);
--- a/tests/test_worker_list.c
+++ b/tests/test_worker_list.c
@@ -157,6 +157,11 @@
     {"state missing", "{" PLACE "," CAPACITY "," LIFE "}", NULL, 0, ""},
     {"state unknown", "{\"state\":\"asleep\"," PLACE "," CAPACITY "," LIFE "}",
      NULL, 0, ""},
+    {"service unknown",
+     "{" READY
+     ",\"service\":\"nobody\",\"address\":\"10.0.0.9:7060\"," CAPACITY "," LIFE
+     "}",
+     NULL, 0, ""},
     {"service long",
      "{" READY ",\"address\":\"10.0.0.9:7060\"," CAPACITY "," LIFE
      ",\"service\":\"",
@@ -360,6 +365,45 @@
     assert_int_equal(failures, 0);
 }
 
+/* The check of services does not hide workers: without a configuration, of a
+ * service that only a route names, or of one that has workers already. */
+static void
+test_services_that_are_known(void **state)
+{
+    (void)state;
+    static const struct {
+        uint64_t version;
+        bool in_route;
+        bool has_pool;
+        bool used;
+    } cases[] = {
+        {0, false, false, true},
+        {1, true, false, true},
+        {1, false, true, true},
+        {1, false, false, false},
+    };
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_store_record row = {CW_LIT("w-c"), CW_LIT("{" SOUND "}")};
+        struct cw_route_entry route = {.prefix = "/"};
+
+        begin();
+        (void)cw_name_set(&route.rules.service, CW_LIT(JOBS_SERVICE));
+        d.config =
+            (struct cw_fleet_config){.version = cases[i].version,
+                                     .routes = &route,
+                                     .route_count = cases[i].in_route ? 1 : 0};
+        if (cases[i].has_pool) {
+            assert_non_null(cw_sched_get_pool(&f.s, CW_LIT(JOBS_SERVICE)));
+        }
+        cw_watch_workers(&d, f.now);
+        answer(&row, 1, false);
+        assert_int_equal(cw_sched_find_worker(&f.s, row.key) != NULL,
+                         cases[i].used);
+        end();
+    }
+}
+
 /* ---- pages ---- */
 
 /* A store that returns one record a page. Returns the number of reads until
@@ -462,6 +506,7 @@
         cmocka_unit_test(test_odd_entry_with_key_of_a_worker),
         cmocka_unit_test(test_unusual_entries_are_used),
         cmocka_unit_test(test_odd_keys),
+        cmocka_unit_test(test_services_that_are_known),
         cmocka_unit_test(test_long_key_ends_a_page),
         cmocka_unit_test(test_long_operator_key_ends_a_page),
         cmocka_unit_test(test_page_repeats),
