--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -220,6 +221,184 @@
     }
 }
 
+/* Text of a case: head, then unit repeated times times, then tail. */
+struct odd_text {
+    const char *head;
+    const char *unit;
+    size_t times;
+    const char *tail;
+};
+
+static struct cw_buf
+odd_text(const struct odd_text *t)
+{
+    struct cw_buf b;
+
+    cw_buf_init(&b);
+    cw_buf_add_str(&b, cw_str_from(t->head));
+    for (size_t i = 0; i < t->times; i++) {
+        cw_buf_add_str(&b, cw_str_from(t->unit));
+    }
+    cw_buf_add_str(&b, cw_str_from(t->tail));
+    return b;
+}
+
+#define VERSION(text) "{\"version\":" text ",\"routes\":[]}"
+
+/* Guards against a version of -1 or 1e300, which counted as the highest of
+ * all, so that the daemon ignored each later configuration; and against a
+ * process that an odd one ends. */
+static void
+test_odd_config(void **state)
+{
+    (void)state;
+    static const struct odd_text cases[] = {
+        {"", "[", 100000, ""},
+        {"", "{\"version\":", 100000, ""},
+        {"{\"version\":3,\"routes\":", "[", 100000, ""},
+        {"{\"version\":3,\"routes\":[],\"x\":\"", "x", 200000, ""},
+        {"{\"version\":3,\"routes\":[],\"x\":\"\xff\"}", "", 0, ""},
+        {"{\"version\":3,\"routes\":[],\"x\":\"\\u0000\"}", "", 0, ""},
+        {"{\"version\":3,\"routes\":{}}", "", 0, ""},
+        {"null", "", 0, ""},
+        {"[]", "", 0, ""},
+        {"\"x\"", "", 0, ""},
+        {VERSION("0"), "", 0, ""},
+        {VERSION("-1"), "", 0, ""},
+        {VERSION("\"3\""), "", 0, ""},
+        {VERSION("1e300"), "", 0, ""},
+        {VERSION("-1e300"), "", 0, ""},
+        {VERSION("1e400"), "", 0, ""},
+        {VERSION("9223372036854775808"), "", 0, ""},
+        {VERSION("99999999999999999999"), "", 0, ""},
+    };
+    int failures = 0;
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_buf text = odd_text(&cases[i]);
+        struct cw_fleet_config c;
+        char msg[CW_MSG_MAX];
+
+        if (ports.config_decode(cw_buf_str(&text), &c, msg) == CW_OK) {
+            print_error("accepted: %.60s version=%llu\n", text.ptr,
+                        (unsigned long long)c.version);
+            cw_fleet_config_finish(&c);
+            failures++;
+        }
+        cw_buf_finish(&text);
+    }
+    assert_int_equal(failures, 0);
+}
+
+/* Figures of a route that are out of range give their defaults, and rows of
+ * another type are left out: the others hold. */
+static void
+test_config_with_odd_rows(void **state)
+{
+    (void)state;
+    static const char *const rows[] = {
+        "7",
+        "null",
+        "[]",
+        "{\"name\":\"b\",\"host\":5,\"pathPrefix\":\"/\",\"service\":\"s\"}",
+        "{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":\"/b/\","
+        "\"service\":\"s\",\"stretch\":1e300,\"sloMs\":1e300,"
+        "\"priority\":-1,\"maxAttempts\":4294967296}",
+        "{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":\"/b/\","
+        "\"service\":\"s\",\"stretch\":-2,"
+        "\"sloMs\":9223372036854775807,\"priority\":\"x\","
+        "\"maxAttempts\":[]}",
+    };
+
+    for (size_t i = 0; i < COUNT(rows); i++) {
+        struct cw_fleet_config c;
+        char text[1024];
+        char msg[CW_MSG_MAX];
+
+        (void)snprintf(text, sizeof(text),
+                       "{\"version\":3,\"routes\":[%s," ROUTE(
+                           "a") "],\"services\":[%s,{\"name\":\"s\"}]}",
+                       rows[i], rows[i]);
+        assert_int_equal(ports.config_decode(cw_str_from(text), &c, msg),
+                         CW_OK);
+        assert_int_equal(c.route_count, i < 4 ? 1 : 2);
+        assert_string_equal(c.routes[c.route_count - 1].rules.queue.text, "a");
+        assert_string_equal(c.services[c.service_count - 1].service.text, "s");
+        assert_int_equal(c.routes[0].rules.slo_ms, i < 4 ? 600 : 0);
+        assert_true(c.routes[0].rules.stretch == (i < 4 ? 1.6 : 1));
+        assert_int_equal(c.routes[0].rules.priority, i < 4 ? 1 : 0);
+        assert_int_equal(c.routes[0].rules.max_attempts, i < 4 ? 2 : 0);
+        cw_fleet_config_finish(&c);
+    }
+}
+
+#define WAVE(number, vms, seconds)                                            \
+    "{\"wave\":" number ",\"machines\":" vms ",\"durationS\":" seconds        \
+    ",\"maxCount\":2}"
+
+/* Guards against a wave whose number or duration is out of range: converted
+ * without a check, the duration was any value. */
+static void
+test_odd_wave(void **state)
+{
+    (void)state;
+    static const struct {
+        struct odd_text text;
+        enum cw_status expect;
+        size_t vms;
+    } cases[] = {
+        {{WAVE("1", "[\"m-1\"]", "24"), "", 0, ""}, CW_OK, 1},
+        {{WAVE("1", "[\"m-1\"]", "0.5"), "", 0, ""}, CW_OK, 1},
+        {{WAVE("1", "[5,\"m-1\",null,\"\"]", "24"), "", 0, ""}, CW_OK, 1},
+        {{WAVE("1", "[]", "0"), "", 0, ""}, CW_OK, 0},
+        {{WAVE("-1", "[]", "24"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("0", "[]", "24"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1e300", "[]", "24"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1", "5", "24"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1", "[]", "-1"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1", "[]", "1e300"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1", "[]", "-1e300"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1", "[]", "1e400"), "", 0, ""}, CW_ERR_INVALID, 0},
+        {{WAVE("1", "[]", "9223372036854775807"), "", 0, ""},
+         CW_ERR_INVALID,
+         0},
+        {{WAVE("9223372036854775808", "[]", "24"), "", 0, ""},
+         CW_ERR_INVALID,
+         0},
+        {{"{\"wave\":1,\"machines\":", "[", 100000, ""}, CW_ERR_INVALID, 0},
+        {{"{\"wave\":1,\"machines\":[", "\"m\",", 1024, "\"m\"]}"},
+         CW_ERR_INVALID,
+         0},
+        {{"", "{\"wave\":", 100000, ""}, CW_ERR_INVALID, 0},
+        {{"null", "", 0, ""}, CW_ERR_INVALID, 0},
+        {{"\xff", "", 0, ""}, CW_ERR_INVALID, 0},
+    };
+    int failures = 0;
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_buf text = odd_text(&cases[i].text);
+        struct cw_wave_order w;
+        char msg[CW_MSG_MAX];
+        enum cw_status st = ports.wave_decode(cw_buf_str(&text), &w, msg);
+
+        if (st != cases[i].expect) {
+            print_error("%s: %.80s wave=%llu duration_ms=%lld\n",
+                        cw_status_name(st), text.ptr,
+                        (unsigned long long)w.number,
+                        (long long)w.duration_ms);
+            failures++;
+        }
+        else if (st == CW_OK) {
+            assert_int_equal(w.vm_count, cases[i].vms);
+        }
+        if (st == CW_OK) {
+            free(w.vms);
+        }
+        cw_buf_finish(&text);
+    }
+    assert_int_equal(failures, 0);
+}
+
 /* The longest prefix of the host wins; routes of other hosts never match. */
 static void
 test_route(void **state)
@@ -348,6 +527,9 @@
         cmocka_unit_test(test_submit_fields),
         cmocka_unit_test(test_worker_entries),
         cmocka_unit_test(test_config),
+        cmocka_unit_test(test_odd_config),
+        cmocka_unit_test(test_config_with_odd_rows),
+        cmocka_unit_test(test_odd_wave),
         cmocka_unit_test(test_route),
         cmocka_unit_test(test_close_with_calls),
     };
