Check the numbers of a worker's report

Callers saw: nothing yet. A report with an end numbered -1 would count as end 2^64 - 1, after which each later end of the worker is ignored and its tasks never end. A run or task number beyond 32 bits was cut and then named another run, and a clock near 2^63 overflowed when the lease was added.

Cause: the rows' numbers were cast without a check, from reals also where C leaves the result undefined; strtoul takes a sign, spaces or nothing at all for a part of a task's name.

--- a/tests/test_odd_answers.c
+++ b/tests/test_odd_answers.c
@@ -1,6 +1,6 @@
-/* Tests that one odd record in the store neither ends the daemon nor hides the
- * records beside it: answers of an HTTP server on loopback, read by the
- * platform adapter. */
+/* Tests that one odd record in the store, or one odd row of a worker's report,
+ * neither ends the daemon nor hides the records and rows beside it: answers of
+ * an HTTP server on loopback, read by the platform adapter. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -107,6 +107,7 @@
                      CW_OK);
     ports.ctx = &platform;
     pf_store_port(&ports);
+    pf_worker_port(&ports);
     return 0;
 }
 
@@ -314,6 +315,184 @@
     }
 }
 
+/* ---- reports ---- */
+
+struct report_copy {
+    bool got;
+    enum cw_status status;
+    struct cw_run_report report;
+    struct cw_run_row running[ROWS_MAX];
+    struct cw_end_row ended[ROWS_MAX];
+};
+
+static void
+on_report(void *arg, enum cw_status s, struct cw_run_report *r)
+{
+    struct report_copy *c = arg;
+
+    c->got = true;
+    c->status = s;
+    if (r == NULL) {
+        return;
+    }
+    c->report = *r;
+    assert_true(r->running_count <= ROWS_MAX && r->ended_count <= ROWS_MAX);
+    memcpy(c->running, r->running, r->running_count * sizeof(c->running[0]));
+    memcpy(c->ended, r->ended, r->ended_count * sizeof(c->ended[0]));
+}
+
+static struct report_copy
+fetch(struct cw_worker_conn *conn, const char *body)
+{
+    struct report_copy c = {0};
+
+    next_body = cw_str_from(body);
+    ports.exec.poll(conn, 0, 1, 0, 0, TIMEOUT_MS, on_report, &c);
+    run_until(&c.got);
+    return c;
+}
+
+static struct cw_worker_conn *
+open_conn(void)
+{
+    struct cw_name id;
+    struct cw_name address;
+    struct cw_worker_conn *conn;
+
+    (void)cw_name_set(&id, CW_LIT("w"));
+    (void)cw_name_set(&address, cw_str_from(address_text));
+    conn = ports.exec.open(&platform, &id, &address);
+    assert_non_null(conn);
+    return conn;
+}
+
+#define TASK(rest) "\"00000000000000ff." rest "\""
+#define RUN "[" TASK("0.1.2") ",3,\"c\",40,7]"
+#define END "[5," TASK("0.1.3") ",3,\"done\",\"\"]"
+#define REPORT(running, ended)                                                \
+    "{\"clockMs\":5,\"born\":7,\"running\":[" running "],\"ended\":[" ended   \
+    "]}"
+
+/* Guards against an end number of -1, which counted as 2^64 - 1, so that every
+ * later end of the worker was ignored; and against a run or task number that
+ * is cut to 32 bits and then names another run. */
+static void
+test_report_with_an_odd_row(void **state)
+{
+    (void)state;
+    static const char *const running[] = {
+        "7",
+        "[]",
+        "{}",
+        "[" TASK("0.1.2") "]",
+        "[" TASK("0.1.2") ",\"3\"]",
+        "[" TASK("0.1.2") ",-1]",
+        "[" TASK("0.1.2") ",4294967299]",
+        "[" TASK("0.1.2") ",1e300]",
+        "[" TASK("0.1.4294967298") ",3]",
+        "[" TASK("0.1.99999999999999999999") ",3]",
+        "[" TASK("0.1.-2") ",3]",
+        "[" TASK("0.1. 2") ",3]",
+        "[" TASK("0.1.") ",3]",
+        "[" TASK("0.1") ",3]",
+        "[" TASK("0.1.2.3") ",3]",
+        "[\"-0000000000000ff.0.1.2\",3]",
+        "[5,3]",
+    };
+    static const char *const ended[] = {
+        "7",
+        "[]",
+        "[\"6\"," TASK("0.1.4") ",3,\"done\",\"\"]",
+        "[0," TASK("0.1.4") ",3,\"done\",\"\"]",
+        "[-1," TASK("0.1.4") ",3,\"done\",\"\"]",
+        "[1e300," TASK("0.1.4") ",3,\"done\",\"\"]",
+        "[6," TASK("0.1.4") ",-1,\"done\",\"\"]",
+        "[6,5,3,\"done\",\"\"]",
+    };
+    struct cw_worker_conn *conn = open_conn();
+    int failures = 0;
+
+    for (size_t i = 0; i < COUNT(running) + COUNT(ended); i++) {
+        bool is_end = i >= COUNT(running);
+        const char *odd = is_end ? ended[i - COUNT(running)] : running[i];
+        struct report_copy c;
+        char body[512];
+
+        (void)snprintf(body, sizeof(body), REPORT("%s%s" RUN, "%s%s" END),
+                       is_end ? "" : odd, is_end ? "" : ",", is_end ? odd : "",
+                       is_end ? "," : "");
+        c = fetch(conn, body);
+        if (c.status != CW_OK || c.report.running_count != 1 ||
+            c.report.ended_count != 1 || c.running[0].run != 3 ||
+            c.ended[0].number != 5) {
+            print_error("%s: status=%s running=%zu ended=%zu\n", odd,
+                        cw_status_name(c.status), c.report.running_count,
+                        c.report.ended_count);
+            failures++;
+        }
+    }
+    ports.exec.close(conn);
+    assert_int_equal(failures, 0);
+}
+
+/* Figures that fit no percentage or measure count as 0; the run is listed. */
+static void
+test_report_with_odd_figures(void **state)
+{
+    (void)state;
+    static const char *const figures[] = {"1e300,-1e300", "-1,-1", "\"x\",[]",
+                                          "4294967296,4294967296",
+                                          "null,1e19"};
+    struct cw_worker_conn *conn = open_conn();
+
+    for (size_t i = 0; i < COUNT(figures); i++) {
+        struct report_copy c;
+        char body[512];
+
+        (void)snprintf(body, sizeof(body),
+                       REPORT("[" TASK("0.1.2") ",3,\"c\",%s]", END),
+                       figures[i]);
+        c = fetch(conn, body);
+        assert_int_equal(c.status, CW_OK);
+        assert_int_equal(c.report.running_count, 1);
+        assert_int_equal(c.running[0].percent, 0);
+        assert_int_equal(c.running[0].measured, 0);
+    }
+    ports.exec.close(conn);
+}
+
+/* A report without a usable clock or without its lists is no report. */
+static void
+test_report_that_is_unusable(void **state)
+{
+    (void)state;
+    static const char *const bodies[] = {
+        "",
+        "null",
+        "5",
+        "{",
+        "{\"clockMs\":5,\"running\":[]}",
+        "{\"clockMs\":5,\"running\":{},\"ended\":[]}",
+        "{\"running\":[],\"ended\":[]}",
+        "{\"clockMs\":-1,\"running\":[],\"ended\":[]}",
+        "{\"clockMs\":\"5\",\"running\":[],\"ended\":[]}",
+        "{\"clockMs\":1e300,\"running\":[],\"ended\":[]}",
+        "{\"clockMs\":9223372036854775807,\"running\":[],\"ended\":[]}",
+        "{\"clockMs\":1e400,\"running\":[],\"ended\":[]}",
+    };
+    struct cw_worker_conn *conn = open_conn();
+    int failures = 0;
+
+    for (size_t i = 0; i < COUNT(bodies); i++) {
+        if (fetch(conn, bodies[i]).status == CW_OK) {
+            print_error("accepted: %s\n", bodies[i]);
+            failures++;
+        }
+    }
+    ports.exec.close(conn);
+    assert_int_equal(failures, 0);
+}
+
 int
 main(void)
 {
@@ -322,6 +501,9 @@
         cmocka_unit_test(test_newest_page_that_is_unreadable),
         cmocka_unit_test(test_last_key_is_escaped),
         cmocka_unit_test(test_log_page_with_an_odd_record),
+        cmocka_unit_test(test_report_with_an_odd_row),
+        cmocka_unit_test(test_report_with_odd_figures),
+        cmocka_unit_test(test_report_that_is_unusable),
     };
 
     cw_logger_setup(CW_ERROR + 1, stderr, NULL);
