--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -20,6 +20,28 @@
 /* The same while VMs are moving into a pool. */
 #define WORKERS_POLL_MOVING_MS 100
 
+/* ---- pages ---- */
+
+bool
+cw_watch_next_page(struct cw_store_key *after, const struct cw_store_page *p)
+{
+    struct cw_str key;
+
+    if (!p->more || p->count == 0) {
+        return false;
+    }
+    key = p->records[p->count - 1].key;
+    if (key.len > CW_STORE_KEY_MAX ||
+        cw_str_eq(key, (struct cw_str){after->text, after->len})) {
+        return false;
+    }
+    if (key.len > 0) {
+        memcpy(after->text, key.ptr, key.len);
+    }
+    after->len = key.len;
+    return true;
+}
+
 /* ---- operators ---- */
 
 static void
@@ -125,9 +147,7 @@
         /* Changes made while the pages load are read from this offset. */
         d->operators_next_offset = p->next;
     }
-    if (p->more && p->count > 0) {
-        (void)cw_name_set(&d->operators_after_key,
-                          p->records[p->count - 1].key);
+    if (cw_watch_next_page(&d->operators_after_key, p)) {
         return;
     }
     d->operators_loaded = true;
@@ -167,29 +187,66 @@
             on_operator_records, c);
     }
     else {
-        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS,
-                                   cw_name_str(&d->operators_after_key),
+        struct cw_str after = {d->operators_after_key.text,
+                               d->operators_after_key.len};
+
+        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS, after,
                                    STORE_TIMEOUT_MS, on_operator_records, c);
     }
 }
 
 /* ---- workers ---- */
 
+/* A service that has a pool already stays known when a later configuration no
+ * longer names it: its workers may still run tasks. */
+static bool
+is_known_service(const struct cw_jobd *d, const struct cw_name *service)
+{
+    if (d->config.version == 0 ||
+        cw_map_get(&d->sched->pools, cw_name_str(service)) != NULL) {
+        return true;
+    }
+    for (size_t i = 0; i < d->config.service_count; i++) {
+        if (cw_name_eq(&d->config.services[i].service, service)) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < d->config.route_count; i++) {
+        if (cw_name_eq(&d->config.routes[i].rules.service, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static enum cw_status
+decode_worker(struct cw_jobd *d, const struct cw_store_record *r,
+              struct cw_worker_entry *out)
+{
+    enum cw_status st = d->ports.worker_decode(r->key, r->value, out, d->msg);
+
+    if (st == CW_OK && !is_known_service(d, &out->service)) {
+        return cw_fail(d->msg, CW_ERR_INVALID, "no such service");
+    }
+    return st;
+}
+
 static void
 apply_worker_record(struct cw_jobd *d, const struct cw_store_record *r,
                     cw_ms now)
 {
     struct cw_worker_entry e;
     struct cw_worker *w;
+    char key[CW_QUOTED_MAX];
 
     if (r->value.len == 0) {
         cw_sched_worker_gone(d->sched, r->key, now);
         return;
     }
-    if (d->ports.worker_decode(r->key, r->value, &e, d->msg) != CW_OK) {
+    if (decode_worker(d, r, &e) != CW_OK) {
         cw_jobd_count(d, "cuminwalk_worker_entries_invalid_total", "");
-        cw_log(CW_DEBUG, "worker_entry_invalid", "key=%.*s reason=\"%s\"",
-               (int)(r->key.len > 60 ? 60 : r->key.len), r->key.ptr, d->msg);
+        cw_log(CW_DEBUG, "worker_entry_invalid", "key=%s reason=\"%s\"",
+               cw_quoted(key, r->key), d->msg);
         return;
     }
     w = cw_sched_worker_listed(d->sched, &e, now);
@@ -244,9 +301,7 @@
             d->workers_next_offset = p->next;
             d->workers_load_began = now;
         }
-        if (p->more && p->count > 0) {
-            (void)cw_name_set(&d->load_after_key,
-                              p->records[p->count - 1].key);
+        if (cw_watch_next_page(&d->load_after_key, p)) {
             d->workers_read_due = now;
             return;
         }
@@ -276,8 +331,10 @@
                             cw_term_ctx_new(d));
     }
     else {
-        d->ports.store.read_latest(
-            d->ports.ctx, CW_STREAM_WORKERS, cw_name_str(&d->load_after_key),
-            STORE_TIMEOUT_MS, on_worker_records, cw_term_ctx_new(d));
+        struct cw_str after = {d->load_after_key.text, d->load_after_key.len};
+
+        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_WORKERS, after,
+                                   STORE_TIMEOUT_MS, on_worker_records,
+                                   cw_term_ctx_new(d));
     }
 }
