--- a/review/lib/daemon.c
+++ b/review/lib/daemon.c
@@ -150,6 +150,12 @@
     return d->name;
 }
 
+int
+daemon_front_port(const struct daemon *d)
+{
+    return d->front;
+}
+
 struct daemon *
 store_owner(void)
 {
--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -89,6 +89,8 @@
 struct daemon *store_owner(void);
 bool wait_owner(struct daemon *d, long long timeout);
 const char *daemon_name(const struct daemon *d);
+/* Where clients connect. */
+int daemon_front_port(const struct daemon *d);
 
 /* ---- clients ---- */
 
