--- /dev/null
+++ b/standins/soak/build.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Builds the random driver and the cases into target/soak.
+set -eu
+cd "$(dirname "$0")/../.."
+mkdir -p target/soak
+flags="-std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Ireview/lib"
+for f in standins/soak/cases/*.c; do
+    ${CC:-cc} $flags -o "target/soak/$(basename "$f" .c)" "$f" review/lib/*.c \
+        -ljansson -lpthread
+done
+[ "${1:-}" = cases ] || ${CC:-cc} $flags -o target/soak/soak \
+    standins/soak/soak*.c review/lib/http.c review/lib/rig.c -ljansson -lpthread
--- /dev/null
+++ b/standins/soak/soak.h
@@ -0,0 +1,129 @@
+/* A random, seeded run of the stand-ins of review/lib: faults in series and
+ * overlapping, and checks that name the daemon behind each order. */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include "rig.h"
+
+#include <stdint.h>
+
+#define SOAK_DAEMONS 9 /* at most */
+#define SOAK_RUNNERS 10
+#define CANCEL_MS 3000
+#define VISIBLE_MS 3000
+#define STABLE_MS 3000
+
+/* ---- random numbers, for one thread each ---- */
+
+struct rng {
+    uint64_t s;
+};
+
+uint64_t rng_next(struct rng *r);
+/* lo to hi, both included */
+long long rng_range(struct rng *r, long long lo, long long hi);
+bool rng_chance(struct rng *r, int percent);
+
+/* ---- faults, as text with times ---- */
+
+struct fault_row {
+    char text[120];
+    long long from;
+    long long to; /* 0: goes on */
+    int daemon;   /* whose machine it puts out of touch; -1: none */
+};
+
+int fault_begin(int daemon, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+void fault_end(int id);
+/* Faults that were active in the time from..to; to the record. */
+void fault_list(long long from, long long to);
+bool daemon_in_touch(int daemon, long long at);
+
+/* ---- daemons ---- */
+
+extern struct daemon *soak_d[SOAK_DAEMONS];
+extern int soak_daemons; /* number, SOAK_N in the environment */
+
+int daemon_index(const struct daemon *d);
+/* The daemon and its life that used an epoch at a time; -1: unknown. */
+int epoch_daemon(long long epoch, long long at, int *life);
+/* As the platform does after a process has ended. */
+void daemon_start_again(int i);
+/* SIGTERM, the end, the start. */
+void daemon_roll(int i);
+/* Logs and starts processes that ended by themselves; returns how many. */
+int daemon_reap(void);
+/* Percent of a daemon's appends whose answers are lost or late. */
+void daemon_append_faults(int i, int lost, int late);
+void soak_wrap_daemon(int i);
+
+/* ---- store ---- */
+
+/* All partitions are assigned anew. */
+void store_deal_again(void);
+
+/* ---- runners ---- */
+
+extern struct worker *soak_w[SOAK_RUNNERS];
+
+/* Percent of start orders: answer lost, carried out late, answered late. */
+void worker_start_faults(int i, int lost, int exec_late, int answer_late);
+/* The store drops its entry, as while it is down; the runner lives. */
+void worker_entry_removed(int i);
+void soak_wrap_worker(int i);
+int worker_index(const struct worker *w);
+
+struct start_row {
+    int exec;       /* index of the run that it began; -1: none */
+    bool late;      /* carried out late by the stand-in */
+    long long sent; /* arrival at the runner */
+    char task[64];
+    char spec[80];
+    char checkpoint[64];
+    long long fence;
+};
+
+int start_count(void);
+struct start_row start_get(int i);
+
+/* ---- clients ---- */
+
+struct job_row {
+    char id[20];
+    char spec[80];
+    bool lasting;
+    long long accepted;  /* 2xx; 0: not */
+    long long cancelled; /* 2xx or 410 to its DELETE; 0: not */
+    long long cancel_sent;
+    int cancel_status;
+    long long shown; /* as succeeded; 0: not */
+    char shown_state[16];
+};
+
+/* Connections that one client keeps open, to each daemon; 0: none. */
+#define KEPT_TIMEOUT_MS 2500
+struct kept {
+    int fd[SOAK_DAEMONS];
+};
+
+int kept_call(struct kept *k, int i, const char *method, const char *path,
+              const char *body, char *out, size_t size);
+
+void clients_start(uint64_t seed, long long until);
+void clients_join(void);
+int job_count(void);
+struct job_row job_get(int i);
+/* -1: no such job */
+int job_find(const char *task);
+
+/* ---- checks ---- */
+
+/* Each violation to the record; the number of them. */
+int soak_check(void);
+
+/* ---- schedule of faults ---- */
+
+void faults_run(uint64_t seed, const char *kinds, long long until);
+
+#endif
--- /dev/null
+++ b/standins/soak/soak_clients.c
@@ -0,0 +1,248 @@
+/* Clients: submissions, repeats, cancels, states. */
+#include "soak.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CLIENTS 24
+#define JOBS_MAX 8000
+
+static struct job_row jobs[JOBS_MAX];
+static int jobs_used;
+static pthread_mutex_t jobs_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_t threads[CLIENTS];
+static long long ends_at;
+static struct rng seeds[CLIENTS];
+static __thread struct kept kept;
+
+int
+job_count(void)
+{
+    return jobs_used;
+}
+
+struct job_row
+job_get(int i)
+{
+    struct job_row j;
+
+    pthread_mutex_lock(&jobs_lock);
+    j = jobs[i];
+    pthread_mutex_unlock(&jobs_lock);
+    return j;
+}
+
+int
+job_find(const char *task)
+{
+    for (int i = 0; i < jobs_used; i++) {
+        if (strncmp(jobs[i].id, task, 16) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Only some of the runs have so many clients that runners are never idle. */
+static long long
+pause_max(void)
+{
+    const char *v = getenv("SOAK_PAUSE");
+
+    return v == NULL ? 300 : strtoll(v, NULL, 10);
+}
+
+static struct daemon *
+any_daemon(struct rng *r)
+{
+    return soak_d[rng_range(r, 0, soak_daemons - 1)];
+}
+
+/* On a new connection, or on one that is kept open. */
+static int
+ask(struct rng *r, struct daemon *d, const char *method, const char *path,
+    const char *body, char *out, size_t size)
+{
+    if (rng_chance(r, 50)) {
+        return kept_call(&kept, daemon_index(d), method, path, body, out,
+                         size);
+    }
+    return call(d, method, path, body, KEPT_TIMEOUT_MS, out, size);
+}
+
+static struct job_row *
+new_job(struct rng *r, char *body, size_t size)
+{
+    struct job_row *j;
+    int n;
+    int count = (int)rng_range(r, 1, 5);
+    int ms = (int)rng_range(r, 300, 1300);
+    int cpu = (int)rng_range(r, 4, 9) * 100;
+    bool two = rng_chance(r, 30);
+
+    pthread_mutex_lock(&jobs_lock);
+    n = jobs_used++;
+    if (n >= JOBS_MAX) {
+        rig_exit(2, "too many jobs");
+    }
+    j = &jobs[n];
+    snprintf(j->id, sizeof(j->id), "%016x", 0x10000 + n);
+    j->lasting = rng_chance(r, 3);
+    pthread_mutex_unlock(&jobs_lock);
+    snprintf(j->spec, sizeof(j->spec), "d=%d c=%d n=%d", j->lasting ? 0 : ms,
+             cpu, n);
+    snprintf(body, size,
+             "{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+             "\"memMb\":64,\"estimateMs\":%d%s}%s",
+             j->spec, j->lasting ? 1 : count, cpu, ms,
+             j->lasting ? ",\"persistent\":true" : "",
+             two && !j->lasting ? "," : "]}");
+    if (two && !j->lasting) {
+        size_t len = strlen(body);
+
+        snprintf(body + len, size - len,
+                 "{\"count\":%d,\"cpu\":%d,\"memMb\":64,\"estimateMs\":%d,"
+                 "\"after\":[0]}]}",
+                 count, cpu, ms);
+    }
+    return j;
+}
+
+static void
+submit_job(struct rng *r, struct job_row *j, const char *path,
+           const char *body)
+{
+    for (int i = 0; i < 12 && j->accepted == 0; i++) {
+        char text[256];
+        int status =
+            ask(r, any_daemon(r), "POST", path, body, text, sizeof(text));
+
+        if (status / 100 == 2) {
+            j->accepted = now_ms();
+        }
+        else {
+            sleep_ms(rng_range(r, 50, 250));
+        }
+    }
+}
+
+static void
+cancel_job(struct rng *r, struct job_row *j, const char *path)
+{
+    j->cancel_sent = now_ms();
+    for (int i = 0; i < 12 && j->cancelled == 0; i++) {
+        char text[256];
+        int status =
+            ask(r, any_daemon(r), "DELETE", path, "", text, sizeof(text));
+
+        if (status / 100 == 2 || status == 410) {
+            j->cancelled = now_ms();
+            j->cancel_status = status;
+        }
+        else {
+            sleep_ms(rng_range(r, 50, 250));
+        }
+    }
+}
+
+static void
+ask_state(struct rng *r, struct job_row *j)
+{
+    char path[64];
+    char text[256];
+    struct daemon *d = any_daemon(r);
+    long long at = now_ms();
+    int status;
+
+    snprintf(path, sizeof(path), PREFIX "%s", j->id);
+    status = ask(r, d, "GET", path, "", text, sizeof(text));
+    if (status == 200) {
+        if (strstr(text, "\"succeeded\"") != NULL && j->shown == 0) {
+            j->shown = now_ms();
+        }
+    }
+    else if (status == 410 && j->accepted != 0 && j->cancel_sent == 0 &&
+             at > j->accepted + VISIBLE_MS) {
+        rec("LOST: job %s, accepted at %.3f s, answered 410 by %s%s", j->id,
+            (double)j->accepted / 1000, daemon_name(d),
+            daemon_in_touch(daemon_index(d), at) ? "" : " (not in touch)");
+        snprintf(j->shown_state, sizeof(j->shown_state), "gone");
+    }
+}
+
+static void
+one_job(struct rng *r)
+{
+    char body[900];
+    char path[64];
+    struct job_row *j = new_job(r, body, sizeof(body));
+
+    snprintf(path, sizeof(path), PREFIX "%s", j->id);
+    submit_job(r, j, path, body);
+    if (j->accepted == 0) {
+        return;
+    }
+    if (j->lasting || rng_chance(r, 15)) {
+        sleep_ms(j->lasting ? rng_range(r, 2000, 6000)
+                            : rng_range(r, 60, 900));
+        cancel_job(r, j, path);
+        return;
+    }
+    if (rng_chance(r, 10)) {
+        sleep_ms(rng_range(r, 300, 2000));
+        (void)call(any_daemon(r), "POST", path, body, 2500, NULL, 0);
+    }
+    if (rng_chance(r, 40)) {
+        sleep_ms(rng_range(r, 200, 1500));
+        ask_state(r, j);
+    }
+}
+
+/* Asks for jobs of some seconds ago: they should have ended. */
+static void
+ask_older(struct rng *r)
+{
+    int n = job_count();
+
+    if (n > 60) {
+        ask_state(r, &jobs[n - 1 - rng_range(r, 20, 60)]);
+    }
+}
+
+static void *
+client(void *arg)
+{
+    struct rng *r = arg;
+
+    while (now_ms() < ends_at) {
+        /* Quiet for a while, so that runners become idle. */
+        if (now_ms() / 1000 % 7 == 5) {
+            sleep_ms(700);
+        }
+        one_job(r);
+        if (rng_chance(r, 30)) {
+            ask_older(r);
+        }
+        sleep_ms(3 * rng_range(r, 20, pause_max()));
+    }
+    return NULL;
+}
+
+void
+clients_start(uint64_t seed, long long until)
+{
+    ends_at = until;
+    for (int i = 0; i < CLIENTS; i++) {
+        seeds[i].s = seed * 1000 + (uint64_t)i;
+        pthread_create(&threads[i], NULL, client, &seeds[i]);
+    }
+}
+
+void
+clients_join(void)
+{
+    for (int i = 0; i < CLIENTS; i++) {
+        pthread_join(threads[i], NULL);
+    }
+}
--- /dev/null
+++ b/standins/soak/soak_faults.c
@@ -0,0 +1,504 @@
+/* Faults at random times, in series and overlapping. */
+#include "soak.h"
+
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FAULTS_MAX 4000
+
+static struct fault_row faults[FAULTS_MAX];
+static int fault_count;
+static pthread_mutex_t fault_lock = PTHREAD_MUTEX_INITIALIZER;
+static bool daemon_busy[SOAK_DAEMONS];
+static bool worker_busy[SOAK_RUNNERS];
+static int running;
+
+/* ---- the list ---- */
+
+int
+fault_begin(int daemon, const char *fmt, ...)
+{
+    va_list ap;
+    int id;
+
+    pthread_mutex_lock(&fault_lock);
+    id = fault_count < FAULTS_MAX - 1 ? fault_count++ : fault_count;
+    faults[id] = (struct fault_row){.from = now_ms(), .daemon = daemon};
+    va_start(ap, fmt);
+    vsnprintf(faults[id].text, sizeof(faults[id].text), fmt, ap);
+    va_end(ap);
+    pthread_mutex_unlock(&fault_lock);
+    rec("fault %d: %s", id, faults[id].text);
+    return id;
+}
+
+void
+fault_end(int id)
+{
+    pthread_mutex_lock(&fault_lock);
+    faults[id].to = now_ms();
+    pthread_mutex_unlock(&fault_lock);
+}
+
+void
+fault_list(long long from, long long to)
+{
+    for (int i = 0; i < fault_count; i++) {
+        const struct fault_row *f = &faults[i];
+
+        if (f->from <= to && (f->to == 0 || f->to >= from)) {
+            rec("    fault %d: %s (%.3f s to %.3f s)", i, f->text,
+                (double)f->from / 1000, (double)f->to / 1000);
+        }
+    }
+}
+
+bool
+daemon_in_touch(int daemon, long long at)
+{
+    bool in = true;
+
+    pthread_mutex_lock(&fault_lock);
+    for (int i = 0; i < fault_count; i++) {
+        const struct fault_row *f = &faults[i];
+
+        if (f->daemon == daemon && f->from <= at &&
+            (f->to == 0 || f->to >= at - STABLE_MS)) {
+            in = false;
+        }
+    }
+    pthread_mutex_unlock(&fault_lock);
+    return in;
+}
+
+/* ---- claims: one fault of a process at a time ---- */
+
+static bool
+claim(bool *flag)
+{
+    bool got;
+
+    pthread_mutex_lock(&fault_lock);
+    got = !*flag;
+    *flag = true;
+    pthread_mutex_unlock(&fault_lock);
+    return got;
+}
+
+static void
+release(bool *flag)
+{
+    pthread_mutex_lock(&fault_lock);
+    *flag = false;
+    pthread_mutex_unlock(&fault_lock);
+}
+
+/* ---- the kinds ---- */
+
+struct fault_job {
+    struct rng r;
+    int kind;
+};
+
+static int
+scheduler(struct rng *r)
+{
+    int i = daemon_index(store_owner());
+
+    return i >= 0 ? i : (int)rng_range(r, 0, soak_daemons - 1);
+}
+
+static void
+kill_daemon(int i)
+{
+    int id = fault_begin(i, "kill and start of front-%d", i + 1);
+
+    daemon_kill(soak_d[i]);
+    sleep_ms(START_DELAY_MS);
+    daemon_start_again(i);
+    fault_end(id);
+}
+
+static void
+do_kill(struct rng *r, int times, int i)
+{
+    if (!claim(&daemon_busy[i])) {
+        return;
+    }
+    for (int k = 0; k < times; k++) {
+        kill_daemon(i);
+        if (k + 1 < times) {
+            sleep_ms(rng_range(r, 200, 800));
+        }
+    }
+    release(&daemon_busy[i]);
+}
+
+/* All processes end at once, and start again. */
+static void
+do_kill_all(void)
+{
+    bool mine[SOAK_DAEMONS];
+    int id = fault_begin(-1, "kill and start of all");
+
+    for (int i = 0; i < soak_daemons; i++) {
+        mine[i] = claim(&daemon_busy[i]);
+        if (mine[i]) {
+            daemon_kill(soak_d[i]);
+        }
+    }
+    sleep_ms(START_DELAY_MS);
+    for (int i = 0; i < soak_daemons; i++) {
+        if (mine[i]) {
+            daemon_start_again(i);
+            release(&daemon_busy[i]);
+        }
+    }
+    fault_end(id);
+}
+
+/* A member of the group other than the scheduler is away for seconds. */
+static void
+do_lose(struct rng *r)
+{
+    int i = (int)rng_range(r, 0, soak_daemons - 1);
+    int id;
+
+    if (i == scheduler(r) || !claim(&daemon_busy[i])) {
+        return;
+    }
+    id = fault_begin(i, "loss of front-%d", i + 1);
+    daemon_kill(soak_d[i]);
+    sleep_ms(rng_range(r, 3000, 12000));
+    daemon_start_again(i);
+    fault_end(id);
+    release(&daemon_busy[i]);
+}
+
+static void
+do_stop(struct rng *r, long long least, long long most)
+{
+    int i = scheduler(r);
+    int id;
+
+    if (!claim(&daemon_busy[i])) {
+        return;
+    }
+    id = fault_begin(i, "freeze of front-%d", i + 1);
+    daemon_signal(soak_d[i], SIGSTOP);
+    sleep_ms(rng_range(r, least, most));
+    daemon_signal(soak_d[i], SIGCONT);
+    fault_end(id);
+    release(&daemon_busy[i]);
+}
+
+static void
+do_term(struct rng *r)
+{
+    int i = scheduler(r);
+    int id;
+
+    if (!claim(&daemon_busy[i])) {
+        return;
+    }
+    id = fault_begin(i, "SIGTERM and start of front-%d", i + 1);
+    daemon_roll(i);
+    fault_end(id);
+    release(&daemon_busy[i]);
+}
+
+static void
+do_link(struct rng *r, enum link_mode m)
+{
+    int i = scheduler(r);
+    int id = fault_begin(i, "store %s for front-%d",
+                         m == LINK_SILENT ? "silent" : "busy", i + 1);
+
+    daemon_link(soak_d[i], m);
+    sleep_ms(rng_range(r, 400, 6000));
+    daemon_link(soak_d[i], LINK_OK);
+    fault_end(id);
+}
+
+static void
+do_crash(struct rng *r, int i)
+{
+    int id = fault_begin(-1, "crash and start of %s", worker_id(soak_w[i]));
+
+    worker_crash(soak_w[i]);
+    sleep_ms(rng_range(r, 300, 1000));
+    worker_restart(soak_w[i]);
+    fault_end(id);
+}
+
+static void
+do_cut(struct rng *r, int i)
+{
+    int id = fault_begin(-1, "cut with resets of %s", worker_id(soak_w[i]));
+
+    worker_cut(soak_w[i], true);
+    sleep_ms(rng_range(r, 300, 6000));
+    worker_cut(soak_w[i], false);
+    fault_end(id);
+}
+
+static void
+do_cut_from(struct rng *r, int i)
+{
+    long long f = worker_fence(soak_w[i]);
+    int id = fault_begin(-1, "%s cut from fence %lld on", worker_id(soak_w[i]),
+                         f + 1);
+
+    worker_cut_from(soak_w[i], f + 1);
+    sleep_ms(rng_range(r, 2000, 8000));
+    worker_cut_from(soak_w[i], 0);
+    fault_end(id);
+}
+
+static void
+do_starts(struct rng *r, int i, int lost, int late, int slow)
+{
+    int id = fault_begin(-1, "starts at %s: lost %d, late %d, slow %d %%",
+                         worker_id(soak_w[i]), lost, late, slow);
+
+    worker_start_faults(i, lost, late, slow);
+    sleep_ms(rng_range(r, 1000, 4000));
+    worker_start_faults(i, 0, 0, 0);
+    fault_end(id);
+}
+
+static void
+do_appends(struct rng *r, int lost, int late)
+{
+    int i = scheduler(r);
+    int id = fault_begin(-1, "appends of front-%d: lost %d, late %d %%", i + 1,
+                         lost, late);
+
+    daemon_append_faults(i, lost, late);
+    sleep_ms(rng_range(r, 1000, 4000));
+    daemon_append_faults(i, 0, 0);
+    fault_end(id);
+}
+
+static void
+do_entry(struct rng *r, int i)
+{
+    int id = fault_begin(-1, "entry of %s dropped", worker_id(soak_w[i]));
+
+    (void)r;
+    worker_entry_removed(i);
+    sleep_ms(2000);
+    fault_end(id);
+}
+
+static void
+do_deal(void)
+{
+    int id = fault_begin(-1, "partitions assigned anew");
+
+    store_deal_again();
+    fault_end(id);
+}
+
+enum kind {
+    KILL,
+    KILL2,
+    KILLANY,
+    STOP,
+    STOPSHORT,
+    TERM,
+    SILENT,
+    BUSY,
+    CRASH,
+    CUT,
+    CUTFROM,
+    STARTLOST,
+    STARTLATE,
+    STARTSLOW,
+    APPENDLOST,
+    APPENDLATE,
+    DEAL,
+    ENTRY,
+    LOSE,
+    KILLALL,
+    KINDS
+};
+
+static const char *const kind_names[KINDS] = {
+    "kill",       "kill2",     "killany",   "stop",      "stopshort",
+    "term",       "silent",    "busy",      "crash",     "cut",
+    "cutfrom",    "startlost", "startlate", "startslow", "appendlost",
+    "appendlate", "deal",      "entry",     "lose",      "killall"};
+
+static void
+run_daemon_fault(struct rng *r, int kind)
+{
+    switch (kind) {
+    case KILL:
+        do_kill(r, 1, scheduler(r));
+        break;
+    case KILL2:
+        do_kill(r, (int)rng_range(r, 2, 3), scheduler(r));
+        break;
+    case KILLANY:
+        do_kill(r, 1, (int)rng_range(r, 0, soak_daemons - 1));
+        break;
+    case STOP:
+        do_stop(r, 1200, 6000);
+        break;
+    case STOPSHORT:
+        do_stop(r, 500, 1400);
+        break;
+    case TERM:
+        do_term(r);
+        break;
+    case SILENT:
+        do_link(r, LINK_SILENT);
+        break;
+    case BUSY:
+        do_link(r, LINK_BUSY);
+        break;
+    case APPENDLOST:
+        do_appends(r, 40, 0);
+        break;
+    case APPENDLATE:
+        do_appends(r, 0, 40);
+        break;
+    case LOSE:
+        do_lose(r);
+        break;
+    case KILLALL:
+        do_kill_all();
+        break;
+    case DEAL:
+        do_deal();
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+run_worker_fault(struct rng *r, int kind, int i)
+{
+    switch (kind) {
+    case CRASH:
+        do_crash(r, i);
+        break;
+    case CUT:
+        do_cut(r, i);
+        break;
+    case CUTFROM:
+        do_cut_from(r, i);
+        break;
+    case STARTLOST:
+        do_starts(r, i, 50, 0, 0);
+        break;
+    case STARTLATE:
+        do_starts(r, i, 0, 50, 0);
+        break;
+    case STARTSLOW:
+        do_starts(r, i, 0, 0, 60);
+        break;
+    case ENTRY:
+        do_entry(r, i);
+        break;
+    default:
+        run_daemon_fault(r, kind);
+        break;
+    }
+}
+
+static void *
+run_fault(void *arg)
+{
+    struct fault_job *f = arg;
+    int i = (int)rng_range(&f->r, 0, SOAK_RUNNERS - 1);
+    bool at_worker =
+        (f->kind >= CRASH && f->kind <= STARTSLOW) || f->kind == ENTRY;
+
+    if (!at_worker) {
+        run_daemon_fault(&f->r, f->kind);
+    }
+    else if (claim(&worker_busy[i])) {
+        run_worker_fault(&f->r, f->kind, i);
+        release(&worker_busy[i]);
+    }
+    pthread_mutex_lock(&fault_lock);
+    running--;
+    pthread_mutex_unlock(&fault_lock);
+    free(f);
+    /* A daemon that this thread has started ends with the thread. */
+    for (;;) {
+        sleep_ms(1000);
+    }
+    return NULL;
+}
+
+/* Bits of the kinds that a list of names selects. */
+static unsigned
+parse_kinds(const char *names)
+{
+    unsigned out = 0;
+
+    for (int i = 0; i < KINDS; i++) {
+        const char *p = names;
+        size_t n = strlen(kind_names[i]);
+
+        for (; (p = strstr(p, kind_names[i])) != NULL; p += n) {
+            bool first = p == names || p[-1] == ',';
+
+            if (first && (p[n] == '\0' || p[n] == ',')) {
+                out |= 1U << i;
+            }
+        }
+    }
+    return out;
+}
+
+static void
+wait_faults(void)
+{
+    int n;
+
+    do {
+        sleep_ms(50);
+        pthread_mutex_lock(&fault_lock);
+        n = running;
+        pthread_mutex_unlock(&fault_lock);
+    } while (n > 0);
+}
+
+void
+faults_run(uint64_t seed, const char *kinds, long long until)
+{
+    struct rng r = {seed};
+    unsigned set = parse_kinds(kinds);
+
+    while (now_ms() < until) {
+        struct fault_job *f;
+        pthread_t t;
+
+        sleep_ms(rng_range(&r, 300, 2200));
+        if (running == 0) {
+            (void)daemon_reap();
+        }
+        if (set == 0) {
+            continue;
+        }
+        f = calloc(1, sizeof(*f));
+        do {
+            f->kind = (int)rng_range(&r, 0, KINDS - 1);
+        } while ((set >> f->kind & 1) == 0);
+        f->r.s = rng_next(&r);
+        pthread_mutex_lock(&fault_lock);
+        running++;
+        pthread_mutex_unlock(&fault_lock);
+        pthread_create(&t, NULL, run_fault, f);
+        pthread_detach(t);
+    }
+    wait_faults();
+}
--- /dev/null
+++ b/standins/soak/soak_store.c
@@ -0,0 +1,25 @@
+/* The store of review/lib, with a new assignment of all partitions. */
+#include "../../review/lib/store.c"
+
+#include "soak.h"
+
+/* The members in another order: the owner of each partition changes. */
+void
+store_deal_again(void)
+{
+    pthread_mutex_lock(&rig_lock);
+    if (member_count > 1) {
+        struct member first = members[0];
+
+        memmove(&members[0], &members[1],
+                (size_t)(member_count - 1) * sizeof(members[0]));
+        members[member_count - 1] = first;
+        for (int p = 0; p < PARTS; p++) {
+            owners[p][0] = '\0';
+        }
+        group_changed();
+        rec("store: generation=%lld, all partitions assigned anew",
+            generation);
+    }
+    pthread_mutex_unlock(&rig_lock);
+}
