Keep a slot in use until the endpoint ends a request that was given up

What callers saw: test_daemon_killed of tests/test_proc_members.c failed now and then with "9 is not within the range 1-8", the peak of concurrent requests at an endpoint with 8 slots. In service the endpoint refuses the ninth request as full and the daemon spends a retry on it.

Cause: a daemon that gave up a request closed its connection to the endpoint and used the slot again at once. It gives up a request when the peer that forwarded it dies or cancels it, and when its deadline passes. A closed connection does not prove that the endpoint has stopped, so the slot was used without proof. The slots of the killed daemon itself were not involved: they were given out after the lapse and the guard time, as documented.

Change: the request ends at once as before, but the try goes on without it. The daemon closes its sending side, on which an endpoint can stop early, drops what still comes, and frees the slot when the response or the connection ends, at the latest after slot_guard_ms, the time after which the slots of a killed daemon are used again too. A graceful stop waits for these tries. A result that counts as a failure of the endpoint is recorded when the slot becomes free.

Not covered: an endpoint that works for longer than slot_guard_ms after its request was given up, and a response whose framing is not accepted, after which the connection is closed and the slot freed at once as before.

--- a/include/cuminwalk.h
+++ b/include/cuminwalk.h
@@ -383,8 +383,9 @@
     cw_ms silent_ms;       /* a peer that is silent for longer is lapsed, and
                             * an older confirmation of the daemon's own
                             * membership does not count; default 3000 */
-    cw_ms slot_guard_ms;   /* wait before a gained slot is used, default 4000;
-                            * above silent_ms */
+    cw_ms slot_guard_ms;   /* wait before a gained slot is used, and longest
+                            * wait for the endpoint's end of a request that
+                            * was given up; default 4000; above silent_ms */
     cw_ms probe_ms;        /* interval of endpoint probes, default 1000 */
     cw_ms stat_ms;         /* interval of stat records, default 60000 */
     cw_ms drain_ms;        /* longest graceful stop, default 60000 */
--- a/packages/daemon/cw_request.h
+++ b/packages/daemon/cw_request.h
@@ -182,8 +182,13 @@
 enum cw_status cw_upstream_init(struct cw_daemon *d);
 void cw_upstream_finish(struct cw_daemon *d);
 void cw_upstream_tick(struct cw_daemon *d, cw_ms now);
+/* Tries whose slot is in use, also those whose request was given up. */
+size_t cw_upstream_count(const struct cw_daemon *d);
 /* Sends r to an endpoint and passes the response on. Reports the result to
- * cw_dispatch_try_ended before it ends the request. */
+ * cw_dispatch_try_ended before it ends the request. A request that is given up
+ * (its caller has gone, its deadline passed, or its response makes no
+ * progress) ends before the try, whose slot stays in use until the endpoint
+ * has ended the response or the connection, or for slot_guard_ms. */
 void cw_upstream_send(struct cw_request *r, struct cw_runner *e,
                       uint32_t slot);
 
@@ -194,13 +199,15 @@
 void cw_dispatch_tick(struct cw_daemon *d, cw_ms now);
 /* Dispatches a new request: sends it, queues it or fails it. */
 void cw_dispatch_request(struct cw_request *r);
-/* A try ended. r is NULL when the caller has gone. Otherwise r is unanswered
- * for CONNECT_FAILED, NOT_SENT, REFUSED_*, NO_RESPONSE and TIMEOUT: the
+/* A try ended. r is NULL when the request ended before. Otherwise r is
+ * unanswered for CONNECT_FAILED, NOT_SENT, REFUSED_* and NO_RESPONSE: the
  * dispatcher then tries elsewhere or fails it. took is the time until the
  * response head, or until the try ended without one. */
 void cw_dispatch_try_ended(struct cw_daemon *d, struct cw_request *r,
                            struct cw_runner *e, uint32_t slot,
                            enum cw_try_result t, cw_ms took);
+/* The deadline of r passed while an endpoint was at work on it. */
+void cw_dispatch_timed_out(struct cw_request *r);
 /* Serves the queues after slots may have become free. service is the name of a
  * service or of its pool, empty for all services. */
 void cw_dispatch_serve_queues(struct cw_daemon *d, struct cw_str service);
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -38,7 +38,8 @@
 {
     bool late = now - d->stop_began > d->settings->drain_ms;
     bool idle = d->front_in_flight == 0 && cw_forward_incoming_count(d) == 0 &&
-                cw_keys_idle(d) && now - d->stop_began > LINGER_MS;
+                cw_upstream_count(d) == 0 && cw_keys_idle(d) &&
+                now - d->stop_began > LINGER_MS;
 
     if (d->leave_began == 0) {
         if (!idle && !late) {
--- a/packages/daemon/dispatch.c
+++ b/packages/daemon/dispatch.c
@@ -352,9 +352,7 @@
     case CW_TRY_NO_RESPONSE:
         retry_or_fail(r, CW_END_INTERRUPTED, true, false, "endpoint_lost");
         break;
-    case CW_TRY_TIMEOUT:
-        retry_or_fail(r, CW_END_INTERRUPTED, true, true, "endpoint_timeout");
-        break;
+    case CW_TRY_TIMEOUT: /* reported by cw_dispatch_timed_out */
     case CW_TRY_COMPLETE:
     case CW_TRY_TRUNCATED:
     case CW_TRY_CALLER_GONE:
@@ -363,6 +361,12 @@
     serve_queue(d, s);
 }
 
+void
+cw_dispatch_timed_out(struct cw_request *r)
+{
+    retry_or_fail(r, CW_END_INTERRUPTED, true, true, "endpoint_timeout");
+}
+
 void
 cw_dispatch_forward_failed(struct cw_request *r, enum cw_outcome outcome,
                            const char *code)
--- a/packages/daemon/upstream.c
+++ b/packages/daemon/upstream.c
@@ -11,6 +11,9 @@
 #define CONNECT_TIMEOUT_MS 1000
 /* A response body that makes no progress for this long is abandoned. */
 #define BODY_IDLE_TIMEOUT_MS (30 * CW_SECOND)
+/* Bytes read of a response after its request was given up. More than these are
+ * not worth their transfer: the connection is closed. */
+#define DISCARD_MAX_BYTES ((size_t)1024 * 1024)
 /* h2o's I/O timeout also runs while reading is paused for backpressure, so it
  * is longer than every timeout enforced here. */
 #define H2O_IO_TIMEOUT_MS (CW_HOUR)
@@ -19,7 +22,7 @@
 
 struct upstream {
     struct cw_daemon *d;
-    struct cw_request *r;
+    struct cw_request *r; /* NULL after it was given up */
     struct cw_runner *e;
     uint32_t slot;
     struct cw_link link;
@@ -32,9 +35,12 @@
     cw_ms head_ms;     /* time until the response head */
     bool chunked;      /* transfer coding of the response */
     bool paused;
-    bool in_body;     /* inside on_body */
-    bool caller_gone; /* the caller closed its connection inside on_body */
+    bool in_body; /* inside on_body */
     h2o_socket_cb read_cb;
+    bool given_up; /* there is no request any more */
+    enum cw_try_result give_up_reason;
+    cw_ms given_up_at;
+    size_t discarded; /* bytes of the response since then */
 };
 
 struct cw_upstream_ctx {
@@ -54,6 +60,14 @@
     free(u);
 }
 
+static cw_ms
+try_duration(const struct upstream *u)
+{
+    cw_ms end = u->given_up ? u->given_up_at : cw_daemon_now(u->d);
+
+    return u->phase == PHASE_BODY ? u->head_ms : end - u->started_at;
+}
+
 /* Ends the try. Frees u; r may be freed too. */
 static void
 upstream_end(struct upstream *u, enum cw_try_result t)
@@ -62,9 +76,11 @@
     struct cw_request *r = u->r;
     struct cw_runner *e = u->e;
     uint32_t slot = u->slot;
-    cw_ms took =
-        u->phase == PHASE_BODY ? u->head_ms : cw_daemon_now(d) - u->started_at;
+    cw_ms took = try_duration(u);
 
+    if (u->given_up) {
+        t = u->give_up_reason;
+    }
     if (r != NULL) {
         cw_request_detach(r);
     }
@@ -75,17 +91,66 @@
     }
 }
 
+/* Closes the connection for sending only, so that the end of the response can
+ * still be read. */
+static void
+close_sending_side(struct upstream *u)
+{
+    h2o_http1client_t *client = u->client;
+
+    if (h2o_socket_is_writing(client->sock)) {
+        /* The write uses memory of the request, which may be freed now. */
+        u->client = NULL;
+        h2o_http1client_cancel(client);
+        return;
+    }
+    client->sockpool.pool = NULL; /* so that it is not used again */
+    (void)shutdown(h2o_socket_get_fd(client->sock), SHUT_WR);
+    if (u->paused) {
+        u->paused = false;
+        h2o_socket_read_start(client->sock, u->read_cb);
+    }
+}
+
+/* Ends a request that was sent, but not the try: the endpoint may still be at
+ * work on it, so its slot stays in use until the endpoint ends the response or
+ * the connection, at most for slot_guard_ms, the time after which the slots of
+ * a lapsed daemon are used again too. The endpoint sees the end of what is
+ * sent to it and can stop early. */
+static void
+upstream_give_up(struct upstream *u, enum cw_try_result t)
+{
+    struct cw_request *r = u->r;
+
+    u->r = NULL;
+    u->given_up = true;
+    u->give_up_reason = t;
+    u->given_up_at = cw_daemon_now(u->d);
+    close_sending_side(u);
+    if (t == CW_TRY_CALLER_GONE) {
+        return;
+    }
+    cw_request_detach(r);
+    if (t == CW_TRY_TIMEOUT) {
+        cw_dispatch_timed_out(r);
+    }
+    else {
+        cw_request_end_response(r, false);
+    }
+}
+
 static void
 upstream_cancel(struct cw_request *r)
 {
     struct upstream *u = r->exec_ctx;
 
     u->r = NULL;
-    if (u->in_body) {
-        u->caller_gone = true;
-        return;
+    if (u->phase == PHASE_CONNECT) {
+        upstream_end(u, CW_TRY_CALLER_GONE);
+    }
+    else if (!u->in_body) {
+        upstream_give_up(u, CW_TRY_CALLER_GONE);
     }
-    upstream_end(u, CW_TRY_CALLER_GONE);
 }
 
 static void
@@ -103,6 +168,24 @@
 static const struct cw_exec_ops upstream_ops = {upstream_cancel,
                                                 upstream_resume};
 
+/* Passes received bytes on, or drops them after the request was given up. */
+static void
+consume_body(struct upstream *u, h2o_buffer_t **in)
+{
+    if (u->given_up) {
+        u->discarded += (*in)->size;
+        h2o_buffer_consume(in, (*in)->size);
+        return;
+    }
+    u->in_body = true;
+    cw_request_send_body(u->r, (*in)->bytes, (*in)->size);
+    u->in_body = false;
+    h2o_buffer_consume(in, (*in)->size);
+    if (u->r == NULL) {
+        upstream_give_up(u, CW_TRY_CALLER_GONE);
+    }
+}
+
 static int
 on_body(h2o_http1client_t *client, const char *err)
 {
@@ -111,15 +194,7 @@
 
     u->progress_at = cw_daemon_now(u->d);
     if ((*in)->size > 0) {
-        u->in_body = true;
-        cw_request_send_body(u->r, (*in)->bytes, (*in)->size);
-        u->in_body = false;
-        h2o_buffer_consume(in, (*in)->size);
-        if (u->caller_gone) {
-            u->client = NULL;
-            upstream_end(u, CW_TRY_CALLER_GONE);
-            return -1;
-        }
+        consume_body(u, in);
     }
     if (err != NULL) {
         bool complete = err == h2o_http1client_error_is_eos;
@@ -134,7 +209,11 @@
         upstream_end(u, complete ? CW_TRY_COMPLETE : CW_TRY_TRUNCATED);
         return -1;
     }
-    if (cw_request_buffered(u->r) >= CW_RESPONSE_PAUSE_BYTES) {
+    if (u->discarded > DISCARD_MAX_BYTES) {
+        u->client = NULL;
+        return -1;
+    }
+    if (u->r != NULL && cw_request_buffered(u->r) >= CW_RESPONSE_PAUSE_BYTES) {
         u->paused = true;
         u->read_cb = client->sock->_cb.read;
         h2o_socket_read_stop(client->sock);
@@ -211,6 +290,17 @@
     return kept;
 }
 
+static void
+begin_body(struct upstream *u, bool chunked)
+{
+    cw_ms now = cw_daemon_now(u->d);
+
+    u->phase = PHASE_BODY;
+    u->chunked = chunked;
+    u->head_ms = now - u->started_at;
+    u->progress_at = now;
+}
+
 static h2o_http1client_body_cb
 on_head(h2o_http1client_t *client, const char *err, int minor, int status,
         h2o_iovec_t msg, h2o_header_t *list, size_t count, int rlen)
@@ -229,6 +319,14 @@
         upstream_end(u, CW_TRY_NO_RESPONSE);
         return NULL;
     }
+    if (u->given_up) {
+        if (!eos) {
+            return on_body;
+        }
+        u->client = NULL;
+        upstream_end(u, u->give_up_reason);
+        return NULL;
+    }
     headers = copy_headers(list, count);
     refused = headers != NULL
                   ? classify_refusal((unsigned)status, headers, count)
@@ -248,10 +346,7 @@
         upstream_end(u, CW_TRY_NO_RESPONSE);
         return NULL;
     }
-    u->phase = PHASE_BODY;
-    u->chunked = !eos && !head.has_length;
-    u->head_ms = cw_daemon_now(u->d) - u->started_at;
-    u->progress_at = cw_daemon_now(u->d);
+    begin_body(u, !eos && !head.has_length);
     head.status = (unsigned)status;
     head.count = strip_response_headers(headers, count);
     head.headers = headers;
@@ -360,19 +455,25 @@
     for (struct upstream *u = CW_LIST_FIRST(all, struct upstream, link);
          u != NULL; u = next) {
         next = CW_LIST_NEXT(all, u, struct upstream, link);
-        if (u->phase == PHASE_CONNECT &&
-            (now - u->started_at > CONNECT_TIMEOUT_MS ||
-             now >= u->r->deadline)) {
+        if (u->given_up) {
+            if (now - u->given_up_at < d->settings->slot_guard_ms) {
+                continue;
+            }
+            upstream_end(u, u->give_up_reason);
+        }
+        else if (u->phase == PHASE_CONNECT &&
+                 (now - u->started_at > CONNECT_TIMEOUT_MS ||
+                  now >= u->r->deadline)) {
             upstream_end(u, now - u->started_at > CONNECT_TIMEOUT_MS
                                 ? CW_TRY_CONNECT_FAILED
                                 : CW_TRY_NOT_SENT);
         }
         else if (u->phase == PHASE_HEAD && now >= u->r->deadline) {
-            upstream_end(u, CW_TRY_TIMEOUT);
+            upstream_give_up(u, CW_TRY_TIMEOUT);
         }
         else if (u->phase == PHASE_BODY && !u->paused &&
                  now - u->progress_at > BODY_IDLE_TIMEOUT_MS) {
-            upstream_end(u, CW_TRY_TRUNCATED);
+            upstream_give_up(u, CW_TRY_TRUNCATED);
         }
         else {
             continue;
@@ -382,6 +483,12 @@
     }
 }
 
+size_t
+cw_upstream_count(const struct cw_daemon *d)
+{
+    return d->upstream->all.count;
+}
+
 enum cw_status
 cw_upstream_init(struct cw_daemon *d)
 {
--- a/tests/daemon_util.c
+++ b/tests/daemon_util.c
@@ -151,6 +151,14 @@
 {
     struct du_conn *c = (struct du_conn *)s;
 
+    if (n == UV_EOF && c->u->script.late != NULL) {
+        (void)uv_read_stop(s);
+        if (c->u->script.late[0] != '\0') {
+            endpoint_write(c, c->u->script.late, strlen(c->u->script.late),
+                           true);
+        }
+        return;
+    }
     if (n < 0) {
         conn_close(c);
         return;
--- a/tests/daemon_util.h
+++ b/tests/daemon_util.h
@@ -43,6 +43,9 @@
     bool close;        /* closes after the response */
     bool refuse;       /* closes each new connection without reading */
     const char *ready; /* status line of GET /ready, NULL for 200 */
+    /* Sent when the daemon has closed its sending side, then the connection is
+     * closed; "" for never, NULL to close at once. */
+    const char *late;
 };
 
 struct du {
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -389,6 +389,64 @@
     cw_buf_finish(&response);
 }
 
+static bool
+no_slot_in_use(void *arg)
+{
+    struct du *u = arg;
+
+    return cw_daemon_in_flight(&u->d, CW_LIT("v1")) == 0;
+}
+
+struct late_case {
+    const char *name;
+    const char *response; /* before the deadline */
+    const char *late;     /* after it, see du_script */
+    cw_ms guard;          /* slot_guard_ms */
+    cw_ms in_use;         /* least time that the slot stays in use */
+};
+
+/* Guards against: the slot of a request whose deadline had passed was free at
+ * once, though the endpoint was still at work on it. */
+static void
+test_slot_in_use_after_deadline(void **state)
+{
+    /* Longer than the test waits: the slot is free for another reason. */
+    enum { LONG = 2 * DU_WAIT_MS };
+    static const struct late_case cases[] = {
+        {"stops when nothing more is sent to it", NULL, NULL, LONG, 0},
+        {"answers late", NULL, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+         LONG, 0},
+        {"refuses late", NULL,
+         "HTTP/1.1 503 Busy\r\ncuminwalk-refused: full\r\n"
+         "content-length: 2\r\n\r\nno",
+         LONG, 0},
+        {"never answers", NULL, "", 400, 300},
+        {"never ends its answer's head", "HTTP/1.1 200 O", "", 400, 300},
+    };
+    struct du *u = *state;
+    struct cw_buf response;
+
+    cw_buf_init(&response);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        cw_ms answered;
+
+        set_script(u, cases[i].response, false);
+        u->script.late = cases[i].late;
+        u->settings.slot_guard_ms = cases[i].guard;
+        du_exchange(u,
+                    CW_LIT("GET /stock/a HTTP/1.1\r\n"
+                           "cuminwalk-deadline-ms: 100\r\n" HEAD_END),
+                    &response);
+        answered = cw_daemon_now(&u->d);
+        assert_int_equal(du_status(&response), 504);
+        du_run_until(u, no_slot_in_use, u);
+        if (cw_daemon_now(&u->d) - answered < cases[i].in_use) {
+            fail_msg("%s: the slot was free at once", cases[i].name);
+        }
+    }
+    cw_buf_finish(&response);
+}
+
 int
 main(void)
 {
@@ -405,6 +463,8 @@
         cmocka_unit_test_setup_teardown(test_complete_response, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_backpressure, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_slot_in_use_after_deadline, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_proc_members.c
+++ b/tests/test_proc_members.c
@@ -50,6 +50,15 @@
                          "120", "--deadline", "2000", NULL});
 }
 
+static void
+check_peaks(struct proc_fleet *f)
+{
+    for (int vm = 0; vm < f->vm_count; vm++) {
+        assert_in_range(proc_fleet_counter(f, vm, "peak"), 1, 8);
+        assert_in_range(proc_fleet_counter(f, vm, "connections_peak"), 1, 64);
+    }
+}
+
 static void
 check_limits(struct proc_fleet *f, struct proc *load)
 {
@@ -59,10 +68,7 @@
     assert_int_equal(proc_fleet_load_value(f, load, "not_run_but_ran"), 0);
     assert_int_equal(proc_fleet_load_value(f, load, "ran_twice"), 0);
     assert_int_equal(proc_fleet_load_value(f, load, "wrong"), 0);
-    for (int vm = 0; vm < f->vm_count; vm++) {
-        assert_in_range(proc_fleet_counter(f, vm, "peak"), 1, 8);
-        assert_in_range(proc_fleet_counter(f, vm, "connections_peak"), 1, 64);
-    }
+    check_peaks(f);
 }
 
 /* Requests that a killed daemon had in flight still run on the endpoints:
@@ -83,6 +89,55 @@
     check_limits(f, load);
 }
 
+static bool
+all_slots_work(void *arg)
+{
+    struct proc_fleet *f = arg;
+    for (int vm = 0; vm < f->vm_count; vm++) {
+        if (proc_fleet_counter(f, vm, "in_flight") != 8) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Guards against: when a daemon was killed, its peers gave up the requests it
+ * had forwarded to them and used their slots again at once, though the
+ * endpoints were still at work on them; the peak of an endpoint was 9. */
+static void
+test_forwarder_killed_slots_in_use(void **state)
+{
+    struct proc_fleet *f = *state;
+    const char *const args[] = {"--closed",   "48",        "--work-ms",
+                                "1000",       "--seconds", "120",
+                                "--deadline", "5000",      NULL};
+    struct proc *forwarded =
+        proc_fleet_start_load(f, "forwarded", 4, "s1", args);
+    /* d3 holds a third of the slots: the others work on what it forwarded. */
+    assert_true(proc_wait_until(all_slots_work, f, PROC_TIMEOUT_MS));
+    struct proc *queued = proc_fleet_start_load(f, "queued", 3, "s1", args);
+    proc_sleep_ms(200);
+    proc_signal(f->daemons[2], SIGKILL);
+    proc_signal(forwarded, SIGTERM);
+    proc_sleep_ms(2000);
+    check_limits(f, queued);
+}
+
+/* Guards against: the slot of a request whose deadline had passed was used
+ * again at once, though the endpoint was still at work on it. */
+static void
+test_deadline_passed_slots_in_use(void **state)
+{
+    struct proc_fleet *f = *state;
+    struct proc *load = proc_fleet_start_load(
+        f, "load", 7, "s1",
+        (const char *[]){"--closed", "48", "--work-ms", "400", "--seconds",
+                         "3", "--deadline", "200", NULL});
+    assert_int_equal(proc_wait(load, PROC_TIMEOUT_MS), 0);
+    assert_true(proc_fleet_load_value(f, load, "unknown") > 0);
+    check_peaks(f);
+}
+
 struct incarnation_wait {
     struct proc_fleet *f;
     int64_t before;
@@ -143,6 +198,10 @@
     signal(SIGPIPE, SIG_IGN);
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_daemon_killed, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_forwarder_killed_slots_in_use,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_deadline_passed_slots_in_use,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_daemon_stopped_and_resumed, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_daemon_killed_in_log_outage,
