Jobs: a restarted worker's report decides on its runs

Cause: cw_worker_new_incarnation called cw_sched_worker_lost without asking which incarnation had answered a start. A worker without tasks is not polled, so that a restart is often noticed after the first starts there.

Change: a new incarnation voids the former one's ends, acknowledgements, clock and answers to stops, and nothing else. Noticed through the list, the worker counts as not contacted: it gets no start and is polled at once. Starts that wait to be sent wait for its clock. Stops are sent again, as a late start would otherwise be carried out by the new incarnation.

So far each task of a restarted worker was given up, so that a repeated start rejected as old, whose order is done, left the task "starting" for ever; it counts as answered now (test_old_start_is_answered).

A loaded start (order_batch 0) that a report under our fence does not list is over, as before. A later restart forgets the fence, but a predecessor's start is sent only within its membership and before its deadline of 400 ms, both over when a successor asks for reports, and each report call sets the fence again. Only a call that the network held through the end of the worker's process could still be carried out; its connection breaks with that process.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -274,6 +274,15 @@
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
 }
 
+/* A start carries the end of its lease, on a clock that is unknown between a
+ * worker's restart and its next report. */
+static bool
+is_order_due(const struct order *o, cw_ms now)
+{
+    return o->due <= now &&
+           (o->kind != ORDER_START || o->agent->worker->clock_at != 0);
+}
+
 /* Sends an order, or drops a start whose task no longer waits for it. */
 static void
 send_order(struct cw_agent *a, struct order *o, cw_ms now)
@@ -309,7 +318,7 @@
     while (*link != NULL && a->in_flight < ORDERS_IN_FLIGHT_MAX) {
         struct order *o = *link;
 
-        if (o->due > now) {
+        if (!is_order_due(o, now)) {
             link = &o->next;
             continue;
         }
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -112,7 +112,6 @@
     CW_LOSS_REFUSED,     /* the worker refused its start */
     CW_LOSS_UNLISTED,    /* a report does not list it */
     CW_LOSS_LAPSED,      /* its lease has lapsed */
-    CW_LOSS_RESTARTED,   /* its worker has restarted under its id */
     CW_LOSS_REPLACED,    /* a later worker of its VM is listed */
     CW_LOSS_OTHER,       /* another worker answers at the address */
     CW_LOSS_UNREACHABLE, /* not listed, and connections are refused */
@@ -456,7 +455,7 @@
 /* The value of a key, empty when there is none. */
 struct cw_str cw_sched_kv_get(struct cw_sched *s, struct cw_str key);
 
-/* ---- jobs_worker.c, jobs_report.c: workers ---- */
+/* ---- jobs_worker.c, jobs_lease.c, jobs_report.c: workers ---- */
 
 /* Finds the pool of a service, or adds one; NULL when memory is short. */
 struct cw_pool *cw_sched_get_pool(struct cw_sched *s, struct cw_str service);
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -50,9 +50,11 @@
  * end the worker has not reported. */
 void cw_task_requeue(struct cw_sched *s, struct cw_task *t,
                      enum cw_run_loss why, cw_ms now);
-/* The worker restarted under its id: it holds no earlier run or end. */
+/* The worker restarted under its id: ends, acknowledgements and clock of the
+ * former incarnation are void. Nothing starts there before the new one has
+ * reported; that report decides on the runs. */
 void cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
-                               int64_t born, cw_ms now);
+                               int64_t born);
 /* Removes the worker from the workers of its VM. */
 void cw_worker_leave_vm(struct cw_sched *s, struct cw_worker *w);
 /* Ends up to ack_pending wait for the commit of ack_batch. */
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -294,7 +294,7 @@
         if (r->born_wall < w->born_wall) {
             return;
         }
-        cw_worker_new_incarnation(s, w, r->born_wall, now);
+        cw_worker_new_incarnation(s, w, r->born_wall);
     }
     w->clock_ms = r->clock_ms;
     w->clock_at = now;
@@ -389,8 +389,12 @@
          * reject it. */
         cw_sched_stop_task(s, t, now);
     }
-    /* Otherwise the earlier send took effect and the run has ended: a report
-     * lists its end. */
+    else if (t->state == CW_RUN_STARTING) {
+        /* The earlier send took effect and the run has ended: the next report
+         * lists its end, or comes from a new incarnation. */
+        cw_task_set_state(t, CW_RUN_RUNNING);
+        t->state_since = now;
+    }
 }
 
 void
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -97,6 +97,7 @@
 
     (void)snprintf(w->id, sizeof(w->id), "w-%zu", f->worker_count);
     w->next_end = 1;
+    w->born = 1;
     (void)snprintf(value, sizeof(value),
                    "{\"service\":\"%s\",\"address\":\"127.0.0.1:9\","
                    "\"state\":\"ready\",\"capacity\":{\"cpu\":4000,"
@@ -105,6 +106,16 @@
     fake_put(f, CW_STREAM_WORKERS, w->id, value);
 }
 
+void
+fake_restart_worker(struct fake_worker *w)
+{
+    w->born++;
+    w->fence = 0;
+    w->next_end = 1;
+    w->acked = 0;
+    w->run_count = 0;
+}
+
 /* ---- answers ---- */
 
 static void
@@ -146,7 +157,8 @@
     struct fake_worker *w = a->worker;
     struct cw_run_row running[FAKE_RUNS_MAX] = {0};
     struct cw_end_row ended[FAKE_RUNS_MAX] = {0};
-    struct cw_run_report r = {.born_wall = 1, .clock_ms = fake_now(a->f)};
+    struct cw_run_report r = {.born_wall = w->born,
+                              .clock_ms = fake_now(a->f)};
 
     for (size_t i = 0; i < w->run_count; i++) {
         struct fake_run *run = &w->runs[i];
@@ -190,6 +202,7 @@
         link = &(*link)->next;
     }
     *link = a->next;
+    a->worker->calls_open--;
 }
 
 static void
@@ -248,6 +261,7 @@
     struct answer *a = new_answer(c->f, kind, arg, ms);
 
     a->worker = c->worker;
+    a->worker->calls_open++;
     a->conn = c;
     a->next = c->open;
     c->open = a;
--- a/tests/jobs_fake.h
+++ b/tests/jobs_fake.h
@@ -23,11 +23,13 @@
 
 struct fake_worker {
     char id[16];
+    int64_t born;
     uint64_t fence;
     uint64_t next_end;
     uint64_t acked;
     struct fake_run runs[FAKE_RUNS_MAX];
     size_t run_count;
+    size_t calls_open;
 };
 
 /* A VM that is off; after an order it stays in the state "moving". */
@@ -76,6 +78,8 @@
 void fake_put(struct fake_platform *f, enum cw_stream stream, const char *key,
               const char *value);
 void fake_add_worker(struct fake_platform *f, const char *service);
+/* The worker restarts under its id: it knows nothing of before. */
+void fake_restart_worker(struct fake_worker *w);
 /* Fills the port of VM control; the VMs are in the pool "off". */
 void fake_vm_ports(struct cw_job_ports *ports);
 /* Fills the ports that the fake platform implements. */
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -327,6 +327,44 @@
     assert_int_equal(fake.double_starts, 0);
 }
 
+/* All ends are acknowledged, and no call to a worker is open. */
+static bool
+workers_idle(void *arg)
+{
+    (void)arg;
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        const struct fake_worker *w = &fake.workers[i];
+
+        if (w->acked + 1 != w->next_end || w->calls_open > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A worker that restarted while it was idle was noticed by its first report
+ * with a run; the scheduler then gave up the runs that it had just started
+ * there, and started them twice. */
+static void
+test_restarted_worker(void **state)
+{
+    (void)state;
+    size_t who = 0;
+    struct state_query q = {.path = "/j/00000000000000b1",
+                            .state = "succeeded"};
+
+    assert_true(run_until(has_scheduler, &who));
+    assert_true(run_until(workers_idle, NULL));
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        fake_restart_worker(&fake.workers[i]);
+    }
+    q.to = who;
+    assert_int_equal(call(who, "POST", q.path, JOB).code, 200);
+    assert_true(run_until(has_state, &q));
+    assert_int_equal(fake.double_starts, 0);
+    assert_int_equal(fake.starts, 3);
+}
+
 /* While the store is unavailable, the outcome of a submission that is in a
  * batch is unknown, also for its repeats: to tell the caller "not run" would
  * be false, as the batch may be stored yet. Others are refused at once, and a
@@ -508,6 +546,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_lost_append_answer, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_store_unavailable, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_handover, setup, teardown),
--- /dev/null
+++ b/tests/test_jobs_incarnation.c
@@ -0,0 +1,221 @@
+/* Tests of workers that restart under their id: what is known of a run, an
+ * end, a clock or a lease holds for one incarnation only. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "jobs_util.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct jobs_fixture f;
+
+static int
+setup(void **state)
+{
+    (void)state;
+    cw_logger_setup(CW_ERROR, stderr, NULL);
+    jobs_setup(&f);
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    (void)state;
+    jobs_teardown(&f);
+    return 0;
+}
+
+static struct cw_worker *
+list_worker(const char *id, int64_t born)
+{
+    struct cw_worker_entry e = {.born_wall = born};
+
+    (void)cw_name_set(&e.id, cw_str_from(id));
+    (void)cw_name_set(&e.vm, cw_str_from(id));
+    (void)cw_name_set(&e.service, CW_LIT(JOBS_SERVICE));
+    (void)cw_name_set(&e.address, CW_LIT("10.0.0.1:80"));
+    e.capacity = (struct cw_resources){4000, 100000, 0};
+    return cw_sched_worker_listed(&f.s, &e, f.now);
+}
+
+/* A report of an incarnation that was asked for some time ago. */
+static void
+report(struct cw_worker *w, int64_t born, cw_ms ago,
+       const struct cw_run_row *running)
+{
+    struct cw_run_report r = {.sent_at = f.now - ago,
+                              .born_wall = born,
+                              .clock_ms = 100,
+                              .running = running,
+                              .running_count = running != NULL ? 1 : 0};
+
+    cw_sched_report(&f.s, w, &r, f.now);
+}
+
+enum run_phase {
+    UNSENT,
+    UNANSWERED,
+    ANSWERED,
+    ANSWERED_LATE, /* after the deciding report was asked for */
+    LISTED,
+    STOP_SENT,
+    STOP_ANSWERED, /* by the former incarnation */
+    LOADED_STARTING,
+    LOADED_RUNNING,
+    LOADED_STOPPING,
+};
+
+static struct cw_task *
+only_task(void)
+{
+    struct cw_run_row r = {.job = 7};
+
+    return cw_sched_find_task(&f.s, &r);
+}
+
+/* Brings the only task's run into the phase, on w1, born 1000. */
+static struct cw_worker *
+begin_run(enum run_phase p)
+{
+    struct cw_job_spec s = jobs_spec(7, 1, 1000);
+    struct cw_worker *w = list_worker("w1", 1000);
+    struct cw_run_row row;
+
+    report(w, 1000, 0, NULL);
+    jobs_accept(&f, &s);
+    if (p == UNSENT) {
+        (void)jobs_flush(&f);
+        return w;
+    }
+    jobs_commit(&f);
+    row = cw_task_row(only_task());
+    f.now += 10;
+    if (p != UNANSWERED && p != ANSWERED_LATE && p != LOADED_STARTING) {
+        cw_sched_start_answered(&f.s, w, &row, CW_START_OK, false, f.now);
+    }
+    if (p == LISTED) {
+        f.now += 10;
+        report(w, 1000, 0, &row);
+    }
+    if (p == STOP_SENT || p == STOP_ANSWERED || p == LOADED_STOPPING) {
+        cw_sched_stop_task(&f.s, only_task(), f.now);
+    }
+    if (p == STOP_ANSWERED) {
+        cw_sched_stop_answered(&f.s, w, &row, f.now);
+    }
+    if (p >= LOADED_STARTING) {
+        cw_job_mark_dirty(&f.s, only_task()->job);
+        jobs_commit(&f);
+        jobs_take_over(&f);
+        w = list_worker("w1", 1000);
+    }
+    return w;
+}
+
+/* A scheduler gave up all that it had placed on a worker when it noticed that
+ * the worker had restarted, also what the new incarnation had started: these
+ * tasks ran twice. */
+static void
+test_restart_gives_up_by_proof(void **state)
+{
+    (void)state;
+    static const struct {
+        enum run_phase phase;
+        bool listed; /* by the new incarnation's report */
+        bool over;
+    } cases[] = {
+        {UNSENT, false, false},         {UNANSWERED, false, false},
+        {UNANSWERED, true, false},      {ANSWERED, false, true},
+        {ANSWERED, true, false},        {ANSWERED_LATE, false, false},
+        {ANSWERED_LATE, true, false},   {LISTED, false, true},
+        {STOP_SENT, false, false},      {STOP_SENT, true, false},
+        {STOP_ANSWERED, false, false},  {STOP_ANSWERED, true, false},
+        {LOADED_STARTING, false, true}, {LOADED_STARTING, true, false},
+        {LOADED_RUNNING, false, true},  {LOADED_RUNNING, true, false},
+        {LOADED_STOPPING, false, true}, {LOADED_STOPPING, true, false},
+    };
+
+    for (size_t i = 0; i < 2 * COUNT(cases); i++) {
+        enum run_phase phase = cases[i / 2].phase;
+        bool by_list = i % 2 == 0;
+        struct cw_worker *w = begin_run(phase);
+        struct cw_run_row row = cw_task_row(only_task());
+
+        f.now += 100;
+        if (by_list) {
+            assert_ptr_equal(list_worker("w1", 2000), w);
+            assert_ptr_equal(only_task()->worker, w);
+            assert_false(w->contacted); /* no starts, and a report at once */
+            assert_int_equal(w->clock_at, 0);
+            report(w, 1000, 0, NULL); /* late, of the former incarnation */
+            assert_ptr_equal(only_task()->worker, w);
+            assert_false(w->contacted);
+        }
+        f.now += 100;
+        if (phase == ANSWERED_LATE) {
+            cw_sched_start_answered(&f.s, w, &row, CW_START_OK, false, f.now);
+        }
+        f.now += 5;
+        report(w, 2000, 10, cases[i / 2].listed ? &row : NULL);
+        assert_true(w->contacted);
+        assert_int_equal(only_task()->worker == NULL, cases[i / 2].over);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
+/* The new incarnation does not know of a stop that the former one answered: a
+ * start that is still under way would be carried out. */
+static void
+test_restart_repeats_stop(void **state)
+{
+    (void)state;
+    struct cw_worker *w = begin_run(STOP_ANSWERED);
+    struct cw_run_row row = cw_task_row(only_task());
+
+    assert_int_equal(jobs_count_ops(&f, 'x'), 1);
+    f.now += 100;
+    report(w, 2000, 10, NULL);
+    assert_int_equal(jobs_count_ops(&f, 'x'), 2);
+    assert_ptr_equal(only_task()->worker, w);
+    f.now += 10;
+    cw_sched_stop_answered(&f.s, w, &row, f.now);
+    f.now += 10;
+    report(w, 2000, 0, NULL);
+    assert_null(only_task()->worker);
+}
+
+/* A repeated start that is rejected as old has run. When the worker restarts
+ * before it has listed the end, no report would ever decide on the run. */
+static void
+test_old_start_is_answered(void **state)
+{
+    (void)state;
+    struct cw_worker *w = begin_run(UNANSWERED);
+    struct cw_run_row row = cw_task_row(only_task());
+
+    cw_sched_start_answered(&f.s, w, &row, CW_START_STALE, true, f.now);
+    f.now += 100;
+    report(w, 2000, 10, NULL);
+    assert_null(only_task()->worker);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_restart_gives_up_by_proof, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_restart_repeats_stop, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_old_start_is_answered, setup,
+                                        teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
