Jobs: a refused connection proves no end of a run

Cause: cw_sched_worker_conn_refused took a refused connection to a worker that is not listed for the end of its runs. A cut may refuse connections, and the store drops the entry of a worker that it does not hear.

Change: this way out is gone, and with it event=worker_ended and reason=unreachable. A worker that neither reports, nor is replaced, nor answers 421 is given up when its lease has lapsed. CW_ERR_NOT_FOUND of stop, pace and report comes from a 421 only: order_status maps nothing else to it, and pf_answer_status and the HTTP calls never return it.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -419,9 +419,6 @@
     if (s == CW_ERR_NOT_FOUND) {
         cw_sched_worker_lost(d->sched, w, CW_LOSS_OTHER, now);
     }
-    else if (s == CW_ERR_UNAVAILABLE) {
-        cw_sched_worker_conn_refused(d->sched, w, now);
-    }
     w->retry_at = now + UNANSWERED_PAUSE_MS;
 }
 
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -107,14 +107,13 @@
 
 /* Why a run no longer counts as alive, so that its task waits again. */
 enum cw_run_loss {
-    CW_LOSS_ENDED,       /* the worker reported its end */
-    CW_LOSS_UNSENT,      /* its start was dropped before it was sent */
-    CW_LOSS_REFUSED,     /* the worker refused its start */
-    CW_LOSS_UNLISTED,    /* a report does not list it */
-    CW_LOSS_LAPSED,      /* its lease has lapsed */
-    CW_LOSS_REPLACED,    /* a later worker of its VM is listed */
-    CW_LOSS_OTHER,       /* another worker answers at the address */
-    CW_LOSS_UNREACHABLE, /* not listed, and connections are refused */
+    CW_LOSS_ENDED,    /* the worker reported its end */
+    CW_LOSS_UNSENT,   /* its start was dropped before it was sent */
+    CW_LOSS_REFUSED,  /* the worker refused its start */
+    CW_LOSS_UNLISTED, /* a report does not list it */
+    CW_LOSS_LAPSED,   /* its lease has lapsed */
+    CW_LOSS_REPLACED, /* a later worker of its VM is listed */
+    CW_LOSS_OTHER,    /* another worker answers at the address */
 };
 
 struct cw_job_entry;
@@ -499,10 +498,6 @@
 void cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, cw_ms now);
 /* Names a task's current run. */
 struct cw_run_row cw_task_row(const struct cw_task *t);
-/* The connection was refused: a worker that is no longer in the list has
- * ended, and its tasks are requeued. */
-void cw_sched_worker_conn_refused(struct cw_sched *s, struct cw_worker *w,
-                                  cw_ms now);
 
 /* ---- jobs_times.c ---- */
 
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -224,9 +224,9 @@
 static void
 log_run_given_up(const struct cw_task *t, enum cw_run_loss why, cw_ms now)
 {
-    static const char *const reasons[] = {
-        "ended",  "unsent",   "refused",      "unlisted",
-        "lapsed", "replaced", "other_worker", "unreachable"};
+    static const char *const reasons[] = {"ended",       "unsent", "refused",
+                                          "unlisted",    "lapsed", "replaced",
+                                          "other_worker"};
     static const char *const states[] = {"waiting", "starting", "running",
                                          "stopping", "done"};
     const struct cw_worker *w = t->worker;
@@ -432,17 +432,6 @@
     w->gone_at = now;
 }
 
-void
-cw_sched_worker_conn_refused(struct cw_sched *s, struct cw_worker *w,
-                             cw_ms now)
-{
-    if (w->state == CW_WORKER_GONE && w->tasks != NULL) {
-        cw_log(CW_INFO, "worker_ended", "worker=%s tasks=%u", w->id.text,
-               w->task_count);
-        cw_sched_worker_lost(s, w, CW_LOSS_UNREACHABLE, now);
-    }
-}
-
 /* ---- acknowledgements ---- */
 
 void
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -555,6 +555,11 @@
     (void)until_ms;
     (void)timeout;
     a->u.report = done;
+    if (c->worker->refuses) {
+        c->worker->refusals++;
+        a->status = CW_ERR_UNAVAILABLE;
+        return;
+    }
     a->status = check_fence(c, epoch);
     if (a->status == CW_OK && acked > c->worker->acked) {
         c->worker->acked = acked;
--- a/tests/jobs_fake.h
+++ b/tests/jobs_fake.h
@@ -30,6 +30,8 @@
     struct fake_run runs[FAKE_RUNS_MAX];
     size_t run_count;
     size_t calls_open;
+    bool refuses; /* connections, although it runs on */
+    size_t refusals;
 };
 
 /* A VM that is off; after an order it stays in the state "moving". */
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -365,6 +365,55 @@
     assert_int_equal(fake.starts, 3);
 }
 
+static bool
+tasks_run(void *arg)
+{
+    struct cw_job_entry *j = *(struct cw_job_entry **)arg;
+
+    for (size_t i = 0; i < j->task_count; i++) {
+        if (j->tasks[i].state != CW_RUN_RUNNING) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Three report calls were refused, or a task's run was given up. */
+static bool
+was_refused(void *arg)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        n += fake.workers[i].refusals;
+    }
+    return n >= 3 || !tasks_run(arg);
+}
+
+/* A cut that resets or refuses connections ended the runs of a worker whose
+ * entry had left the list, in the scheduler's view: they were started again
+ * while the worker ran on under its lease. */
+static void
+test_refused_connection(void **state)
+{
+    (void)state;
+    size_t who = 0;
+    struct cw_job_entry *j;
+
+    assert_true(run_until(has_scheduler, &who));
+    fake.task_ms = 60000;
+    assert_int_equal(call(who, "POST", "/j/00000000000000c1", JOB).code, 200);
+    j = cw_sched_find_job(daemons[who].sched, 0xc1);
+    assert_true(run_until(tasks_run, &j));
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        fake.workers[i].refuses = true;
+        cw_sched_worker_gone(daemons[who].sched,
+                             cw_str_from(fake.workers[i].id), 1);
+    }
+    assert_true(run_until(was_refused, &j));
+    assert_true(tasks_run(&j));
+}
+
 /* While the store is unavailable, the outcome of a submission that is in a
  * batch is unknown, also for its repeats: to tell the caller "not run" would
  * be false, as the batch may be stored yet. Others are refused at once, and a
@@ -548,6 +597,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_refused_connection, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_store_unavailable, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_handover, setup, teardown),
