Jobs: acknowledge ends only to the incarnation that listed them

A worker that restarted under its id took the acknowledgement of its former incarnation, which each report call repeats, for its own: it forgot ends that were never seen, so that its next report listed the run neither as running nor as ended. The run was given up as unlisted, and started again after its end was noted. The same calls carried the end of the lease on the former clock, far ahead on the new one.

Cause: a report call carried both without knowing which incarnation it would reach; an idle worker may restart between two calls.

The fake now applies them as the adapter sends them; test_acks_reach_one_incarnation failed on the adapter before with "0x1 != 0" (the first call on a connection carried the number).

A worker that closes the connection after each answer would get neither acknowledgement nor renewal; none of the users' workers does.

--- a/bench/sched_world.c
+++ b/bench/sched_world.c
@@ -209,7 +209,8 @@
     struct cw_run_report r = {.running = running,
                               .ended = ended,
                               .born_wall = s->entry.born_wall,
-                              .clock_ms = w->now};
+                              .clock_ms = w->now,
+                              .proved = true};
     bool fresh = false;
     void *arg = c->poll_arg;
 
--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -447,8 +447,15 @@
                    a->worker->id.text, a->failures);
         }
         a->failures = 0;
-        a->acked_sent = a->report_acked;
         a->next_report_at = now + cw_loop_lag_report_delay(&d->lag);
+        if (r->proved) {
+            a->acked_sent = a->report_acked;
+        }
+        else if (a->report_acked > a->acked_sent) {
+            /* A worker that closes each connection gets no acknowledgement,
+             * and no more calls for it than a silent one. */
+            a->next_report_at = now + REPORT_RETRY_MS;
+        }
         r->sent_at = a->report_sent;
         cw_sched_report(d->sched, a->worker, r, now);
         a->report_due = a->worker->ack_pending > a->worker->acked
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -283,6 +283,9 @@
 
 struct cw_run_report {
     cw_ms sent_at; /* time of the call that the report answers */
+    /* The call was certain to reach the incarnation that reported before: the
+     * lease and the acknowledgement were sent with it. */
+    bool proved;
     int64_t born_wall;
     int64_t clock_ms;
     const struct cw_run_row *running;
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -165,7 +165,9 @@
                  cw_worker_done done, void *arg);
     /* Gets the running and the ended runs; waits up to wait_ms for a run to
      * end. Also extends the lease to until_ms (0: leaves it unchanged) and
-     * acknowledges ended runs with numbers up to acked. */
+     * acknowledges ended runs with numbers up to acked, both only when the
+     * call can reach no other incarnation than the one that reported before:
+     * the report's member proved says so. */
     void (*poll)(struct cw_worker_conn *c, int64_t until_ms, uint64_t epoch,
                  uint64_t acked, cw_ms wait_ms, cw_ms timeout,
                  cw_report_done done, void *arg);
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -21,7 +21,8 @@
     enum cw_status status;
     enum cw_stream stream;
     uint64_t number;
-    bool flag; /* JOIN: the member is the owner; PAGE: with records */
+    /* JOIN: the member is the owner; PAGE: with records; REPORT: proved */
+    bool flag;
     char name[64];
     struct fake_worker *worker;
     struct cw_worker_conn *conn; /* of a call to a worker */
@@ -32,6 +33,7 @@
     struct fake_platform *f;
     struct fake_worker *worker;
     struct answer *open;
+    int64_t reported; /* the incarnation that has reported on it */
 };
 
 static cw_ms
@@ -177,6 +179,10 @@
     }
     r.running = running;
     r.ended = ended;
+    r.proved = a->flag;
+    if (a->status == CW_OK) {
+        a->conn->reported = w->born;
+    }
     a->u.report(a->arg, a->status, a->status == CW_OK ? &r : NULL);
 }
 
@@ -561,7 +567,8 @@
         return;
     }
     a->status = check_fence(c, epoch);
-    if (a->status == CW_OK && acked > c->worker->acked) {
+    a->flag = c->reported == c->worker->born;
+    if (a->status == CW_OK && a->flag && acked > c->worker->acked) {
         c->worker->acked = acked;
     }
 }
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -25,6 +25,8 @@
     const char *answer;
     size_t connections;
     size_t bytes_received;
+    bool close_after; /* each answer */
+    char last[512];   /* bytes received last */
 } server;
 
 struct peer {
@@ -55,13 +57,16 @@
     uv_buf_t out =
         uv_buf_init((char *)server.answer, (unsigned)strlen(server.answer));
 
-    (void)b;
     if (n <= 0) {
         uv_close((uv_handle_t *)s, on_peer_closed);
         return;
     }
     server.bytes_received += (size_t)n;
+    (void)snprintf(server.last, sizeof(server.last), "%.*s", (int)n, b->base);
     (void)uv_write(&p->write, s, &out, 1, NULL);
+    if (server.close_after) {
+        uv_close((uv_handle_t *)s, on_peer_closed);
+    }
 }
 
 static void
@@ -246,6 +251,7 @@
 struct report_outcome {
     int done;
     enum cw_status status;
+    bool proved;
 };
 
 static void
@@ -253,9 +259,9 @@
 {
     struct report_outcome *o = arg;
 
-    (void)r;
     o->done++;
     o->status = s;
+    o->proved = r != NULL && r->proved;
 }
 
 /* A worker that answers 503 lives and may run its tasks. Taken for a refused
@@ -296,6 +302,82 @@
     }
 }
 
+static void
+on_stopped(void *arg, enum cw_status s)
+{
+    struct outcome *o = arg;
+
+    o->done++;
+    o->status = s;
+}
+
+/* A worker that restarted under its id took the acknowledgement of its former
+ * incarnation for its own and forgot ends that were never seen, so that their
+ * tasks ran twice; and it took the end of the lease for far ahead on its new
+ * clock. Only a process that has reported on a connection gets them there. */
+static void
+test_acks_reach_one_incarnation(void **state)
+{
+    (void)state;
+#define REPORT                                                                \
+    "HTTP/1.1 200 X\r\nContent-Length: 39\r\n\r\n"                            \
+    "{\"clockMs\":5,\"running\":[],\"ended\":[]}  "
+    static const struct {
+        const char *answer;
+        bool close_after; /* as the process ends */
+        bool order;       /* a stop is sent before the report call */
+        bool proved;      /* the call carries acknowledgement and lease */
+    } cases[] = {
+        {REPORT, false, false, false}, /* the first call */
+        {REPORT, false, false, true},
+        {REPORT, false, true, true}, /* orders use their own connections */
+        {REPORT, true, false, true},
+        {REPORT, false, false, false}, /* after a restart */
+        {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true, false, true},
+        {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false, false, false},
+        {REPORT, false, false, false}, /* no report on it so far */
+        {REPORT, false, false, true},
+    };
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_run_row row = {.job = 7, .run = 1};
+    struct cw_worker_conn *c;
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    c = ports.exec.open(&p, &id, &address);
+    assert_non_null(c);
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct report_outcome o = {0};
+        struct outcome stopped = {0};
+
+        assert_true(on_wire(cases[i].answer));
+        server.close_after = cases[i].close_after;
+        if (cases[i].order) {
+            ports.exec.stop(c, &row, 1, 5000, on_stopped, &stopped);
+            while (stopped.done == 0) {
+                uv_run(&loop, UV_RUN_ONCE);
+            }
+        }
+        ports.exec.poll(c, 486000, 1, 57, 0, 5000, on_report, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        for (int k = 0; k < 20; k++) {
+            (void)uv_run(&loop, UV_RUN_NOWAIT);
+        }
+        assert_int_equal(strstr(server.last, "\"ackedThrough\":57") != NULL,
+                         cases[i].proved);
+        assert_int_equal(strstr(server.last, "\"untilMs\":486000") != NULL,
+                         cases[i].proved);
+        assert_int_equal(o.proved, cases[i].proved && o.status == CW_OK);
+    }
+    ports.exec.close(c);
+}
+
 int
 main(void)
 {
@@ -305,6 +387,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_unwell_worker_is_not_gone, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_acks_reach_one_incarnation, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -344,25 +344,34 @@
 
 /* A worker that restarted while it was idle was noticed by its first report
  * with a run; the scheduler then gave up the runs that it had just started
- * there, and started them twice. */
+ * there, and started them twice. The same followed when the former
+ * incarnation's ends were acknowledged to the new one, which then did not list
+ * its own. */
 static void
 test_restarted_worker(void **state)
 {
     (void)state;
+    static const struct {
+        const char *path;
+        uint64_t starts; /* in total */
+    } cases[] = {{"/j/00000000000000b1", 3},
+                 {"/j/00000000000000b2", 6},
+                 {"/j/00000000000000b3", 9}};
     size_t who = 0;
-    struct state_query q = {.path = "/j/00000000000000b1",
-                            .state = "succeeded"};
 
     assert_true(run_until(has_scheduler, &who));
-    assert_true(run_until(workers_idle, NULL));
-    for (size_t i = 0; i < fake.worker_count; i++) {
-        fake_restart_worker(&fake.workers[i]);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct state_query q = {who, cases[i].path, "succeeded"};
+
+        assert_true(run_until(workers_idle, NULL));
+        for (size_t k = 0; k < fake.worker_count; k++) {
+            fake_restart_worker(&fake.workers[k]);
+        }
+        assert_int_equal(call(who, "POST", q.path, JOB).code, 200);
+        assert_true(run_until(has_state, &q));
+        assert_int_equal(fake.double_starts, 0);
+        assert_int_equal(fake.starts, cases[i].starts);
     }
-    q.to = who;
-    assert_int_equal(call(who, "POST", q.path, JOB).code, 200);
-    assert_true(run_until(has_state, &q));
-    assert_int_equal(fake.double_starts, 0);
-    assert_int_equal(fake.starts, 3);
 }
 
 static bool
