Jobs: count the longest lease while the incarnation is unproved

A start carries the end of its lease on the worker's clock. When it reaches a worker that has restarted under its id, that end is far ahead on the new clock, and the worker shortens it to its maximum, 6 to 10 s in the users' deployments. The scheduler counted on 4.5 s: if the worker was then cut off, its tasks started elsewhere while it ran on.

Change: a run's start is proved to have reached the incarnation that reports when a report lists it, or when the clock in the start's answer shows a process that ran before the last report was sent; the second is immediate and costs no call. A run that isn't proved, and all runs of a worker after a restart was noticed, lapse only after max_hold_ms, a new setting from the platform's maxHoldMs (default 10 s). A new scheduler does the same for a worker that the list shows as born within that time. Proved runs lapse after lease_ms as before. Report calls reach only the proved incarnation, so they need no such count. An unanswered start is not repeated while the worker doesn't report: each repeat could extend the lease of a restarted one.

Not covered: a start without an answer that the network holds back through a restart of the worker and beyond the count; a loaded run of a worker that has left the list, whose age is then unknown (it lapses as before).

--- a/bench/bench_calls.c
+++ b/bench/bench_calls.c
@@ -154,8 +154,10 @@
 static void send_next(void);
 
 static void
-on_started(void *arg, enum cw_status s, enum cw_start_answer a)
+on_started(void *arg, enum cw_status s, enum cw_start_answer a,
+           int64_t clock_ms)
 {
+    (void)clock_ms;
     (void)arg;
     (void)a;
     b.failed += s == CW_OK ? 0 : 1;
@@ -167,7 +169,7 @@
 on_reported(void *arg, enum cw_status s, struct cw_run_report *r)
 {
     (void)r;
-    on_started(arg, s, CW_START_OK);
+    on_started(arg, s, CW_START_OK, 0);
 }
 
 static void
--- a/bench/sched_world.c
+++ b/bench/sched_world.c
@@ -126,7 +126,8 @@
 
     for (size_t i = 0; i < w->start_count; i++) {
         if (w->starts[i].conn == c) {
-            w->starts[i].done(w->starts[i].arg, CW_ERR_UNKNOWN, CW_START_OK);
+            w->starts[i].done(w->starts[i].arg, CW_ERR_UNKNOWN, CW_START_OK,
+                              0);
         }
         else {
             w->starts[n++] = w->starts[i];
@@ -262,7 +263,7 @@
                                : w->now + TASK_MS / 2 +
                                      (cw_ms)cw_rng_below(&w->rng, TASK_MS)};
         }
-        due[i].done(due[i].arg, CW_OK, CW_START_OK);
+        due[i].done(due[i].arg, CW_OK, CW_START_OK, w->now);
     }
     free(due);
 }
@@ -443,6 +444,7 @@
         (struct cw_clock){.now = world_now, .wall = world_wall, .ctx = w};
     (void)cw_name_set(&d->settings.daemon, CW_LIT("bench"));
     d->settings.lease_ms = 4500;
+    d->settings.max_hold_ms = 10000;
     d->settings.status_ms = 120000;
     d->settings.move_ms = MOVE_MS;
     d->settings.vm_lease_ms = 3000;
@@ -468,8 +470,8 @@
 begin_scheduling(struct sched_world *w)
 {
     struct cw_jobd *d = &w->d;
-    struct cw_sched_limits limits = {d->settings.status_ms,
-                                     d->settings.lease_ms};
+    struct cw_sched_limits limits = {
+        d->settings.status_ms, d->settings.lease_ms, d->settings.max_hold_ms};
 
     d->role = CW_ROLE_TAKEOVER; /* until the work is loaded */
     d->term++;
--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -171,7 +171,8 @@
 }
 
 static void
-on_start(void *arg, enum cw_status s, enum cw_start_answer answer)
+on_start(void *arg, enum cw_status s, enum cw_start_answer answer,
+         int64_t clock_ms)
 {
     struct order *o = arg;
     struct cw_agent *a = o->agent;
@@ -192,6 +193,7 @@
         }
         cw_sched_start_answered(d->sched, w, &o->row, answer, o->unanswered,
                                 now);
+        cw_sched_start_clock(d->sched, w, &o->row, clock_ms, now);
         free(o);
     }
     else {
@@ -270,17 +272,22 @@
     };
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
+    cw_worker_start_sent(d->sched, a->worker, now);
     cw_member_count_unproved(d, "start");
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
 }
 
 /* A start carries the end of its lease, on a clock that is unknown between a
- * worker's restart and its next report. */
+ * worker's restart and its next report. To a silent worker none is repeated: a
+ * restarted one may receive each, and hold its runs the longer. */
 static bool
 is_order_due(const struct order *o, cw_ms now)
 {
+    const struct cw_agent *a = o->agent;
+
     return o->due <= now &&
-           (o->kind != ORDER_START || o->agent->worker->clock_at != 0);
+           (o->kind != ORDER_START || (a->worker->clock_at != 0 &&
+                                       (!o->unanswered || a->failures == 0)));
 }
 
 /* Sends an order, or drops a start whose task no longer waits for it. */
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -32,6 +32,7 @@
     cw_ms member_ttl_ms; /* membership after a join, at least 1000 */
     cw_ms grace_ms;      /* from SIGTERM to SIGKILL */
     cw_ms lease_ms;      /* of runs on workers */
+    cw_ms max_hold_ms;   /* workers shorten longer leases to this */
     cw_ms status_ms;     /* ended jobs are kept this long */
     cw_ms move_ms;       /* duration of a VM's move between pools */
     cw_ms vm_lease_ms;   /* min. time between two daemons' orders for a VM */
--- a/packages/jobd/jobd_settings.c
+++ b/packages/jobd/jobd_settings.c
@@ -21,6 +21,7 @@
                                          "member_ttl_min_ms",
                                          "grace_s",
                                          "lease_ms",
+                                         "max_hold_ms",
                                          "status_s",
                                          "move_s",
                                          "vm_lease_ms",
@@ -35,6 +36,7 @@
     s->member_ttl_ms = MEMBER_TTL_MIN_MS;
     s->grace_ms = 6 * CW_SECOND;
     s->lease_ms = 4500;
+    s->max_hold_ms = 10 * CW_SECOND;
     s->status_ms = 2 * CW_MINUTE;
     s->move_ms = 1500;
     s->vm_lease_ms = 3 * CW_SECOND;
@@ -84,6 +86,7 @@
     parse_seconds(o, "status_s", 1, &s->status_ms);
     parse_seconds(o, "move_s", 0, &s->move_ms);
     cw_jget_ms(o, "lease_ms", false, 500, CW_HOUR, &s->lease_ms);
+    cw_jget_ms(o, "max_hold_ms", false, 500, CW_HOUR, &s->max_hold_ms);
     cw_jget_ms(o, "vm_lease_ms", false, 0, CW_HOUR, &s->vm_lease_ms);
     cw_jget_real(o, "cores", false, 0.001, 1024, &s->cores);
 }
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -175,6 +175,7 @@
     struct cw_sched_limits limits = {
         .status_ms = d->settings.status_ms,
         .lease_ms = d->settings.lease_ms,
+        .max_hold_ms = d->settings.max_hold_ms,
     };
 
     d->sched = calloc(1, sizeof(*d->sched));
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -126,7 +126,8 @@
     uint16_t step;
     uint8_t state;   /* enum cw_run_state */
     bool started_up; /* a lasting task that has finished its start-up */
-    uint32_t run;    /* number of the latest run, 0: none yet */
+    bool proved;  /* the incarnation that reports has carried out its start */
+    uint32_t run; /* number of the latest run, 0: none yet */
     uint32_t failures;
     struct cw_worker *worker;
     struct cw_task *prev; /* in the worker's list */
@@ -217,8 +218,9 @@
     int64_t clock_ms;       /* the worker's clock at clock_at */
     cw_ms clock_at;         /* the scheduler's clock then; 0: unknown */
     int64_t lease_until_ms; /* lease sent last, on its clock; 0: none */
-    cw_ms lapse_at;         /* all leases of its runs have lapsed by then */
-    uint64_t ack_pending;   /* ends up to this number are in ack_batch */
+    cw_ms lapse_at;         /* all leases of its runs have lapsed by then .. */
+    cw_ms unproved_lapse_at; /* .. or then, of those not proved */
+    uint64_t ack_pending;    /* ends up to this number are in ack_batch */
     uint64_t ack_batch;
     uint64_t acked;             /* ends up to this number are durable */
     struct cw_worker *ack_next; /* in cw_sched.acks */
@@ -334,8 +336,9 @@
 
 /* Limits that the platform sets. */
 struct cw_sched_limits {
-    cw_ms status_ms; /* how long ended jobs are kept */
-    cw_ms lease_ms;  /* length of a worker's lease */
+    cw_ms status_ms;   /* how long ended jobs are kept */
+    cw_ms lease_ms;    /* length of a worker's lease */
+    cw_ms max_hold_ms; /* a worker shortens longer ones to this */
 };
 
 /* A key-value pair in the scheduler's stream, kept across takeovers. */
@@ -494,6 +497,13 @@
  * worker's clock is unknown. */
 int64_t cw_worker_lease_until(struct cw_sched *s, struct cw_worker *w,
                               bool renew, cw_ms now);
+/* A start was sent to the worker. */
+void cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now);
+/* The worker's clock when it accepted a start: shows whether the incarnation
+ * that reported last has carried it out. */
+void cw_sched_start_clock(struct cw_sched *s, const struct cw_worker *w,
+                          const struct cw_run_row *r, int64_t clock_ms,
+                          cw_ms now);
 /* Requeues the tasks of workers whose leases have lapsed. */
 void cw_sched_expire_leases(struct cw_sched *s, cw_ms now);
 /* Stops a task's run; after its end the task waits again, unless its job has
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -54,7 +54,10 @@
  * former incarnation are void. Nothing starts there before the new one has
  * reported; that report decides on the runs. */
 void cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
-                               int64_t born);
+                               int64_t born, cw_ms now);
+/* The run is over: the task waits again. */
+void cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
+                  cw_ms now);
 /* Removes the worker from the workers of its VM. */
 void cw_worker_leave_vm(struct cw_sched *s, struct cw_worker *w);
 /* Ends up to ack_pending wait for the commit of ack_batch. */
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -9,6 +9,37 @@
 /* A previous scheduler may go on renewing leases until its membership of the
  * group expires. */
 #define PREVIOUS_SCHEDULER_MS 1500
+/* A start may reach the worker until its call has ended. */
+#define START_ARRIVAL_MS 500
+/* A worker's answer may be under way this long. */
+#define ANSWER_DELAY_MS 2000
+/* Wall clocks may differ by this. */
+#define WALL_SKEW_MS 5000
+
+/* Longest time that a lease of this length lasts. */
+static cw_ms
+longest(cw_ms lease)
+{
+    return (cw_ms)((double)lease / (1.0 - CLOCK_DRIFT_MAX)) + LAPSE_MARGIN_MS;
+}
+
+/* The same of a lease whose end was computed for another incarnation's clock:
+ * the worker shortens it to its maximum. */
+static cw_ms
+longest_unproved(const struct cw_sched *s)
+{
+    return longest(s->limits.max_hold_ms > s->limits.lease_ms
+                       ? s->limits.max_hold_ms
+                       : s->limits.lease_ms);
+}
+
+static void
+lapses_not_before(struct cw_worker *w, cw_ms at)
+{
+    if (w->lapse_at < at) {
+        w->lapse_at = at;
+    }
+}
 
 /* ---- incarnations ---- */
 
@@ -28,8 +59,10 @@
 
 void
 cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
-                          int64_t born)
+                          int64_t born, cw_ms now)
 {
+    cw_ms age = now + s->wall_offset - born;
+
     if (w->born_wall != 0) {
         cw_log(CW_INFO, "worker_restarted",
                "worker=%s born=%lld was=%lld tasks=%u", w->id.text,
@@ -40,6 +73,12 @@
         w->lease_until_ms = 0;
         w->contacted = false;
         repeat_stops(s, w);
+        /* Starts under way may yet extend the lease by the former clock. */
+        lapses_not_before(w, now + START_ARRIVAL_MS + longest_unproved(s));
+    }
+    else if (w->tasks != NULL && age < longest_unproved(s) + WALL_SKEW_MS) {
+        /* So may the previous scheduler's have done. */
+        lapses_not_before(w, now + longest_unproved(s));
     }
     w->born_wall = born;
 }
@@ -63,9 +102,7 @@
         now + LAPSE_MARGIN_MS +
         (cw_ms)(((double)s->limits.lease_ms + CLOCK_DRIFT_MAX * (double)age) /
                 (1.0 - CLOCK_DRIFT_MAX));
-    if (lapse > w->lapse_at) {
-        w->lapse_at = lapse;
-    }
+    lapses_not_before(w, lapse);
     w->lease_until_ms = w->clock_ms + age + s->limits.lease_ms;
     return w->lease_until_ms;
 }
@@ -73,28 +110,78 @@
 void
 cw_sched_loaded(struct cw_sched *s, cw_ms now)
 {
-    cw_ms longest =
-        (cw_ms)((double)s->limits.lease_ms / (1.0 - CLOCK_DRIFT_MAX)) +
-        LAPSE_MARGIN_MS + PREVIOUS_SCHEDULER_MS;
+    cw_ms lapse = now + longest(s->limits.lease_ms) + PREVIOUS_SCHEDULER_MS;
 
     for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
         for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
-            w->lapse_at = now + longest;
+            w->lapse_at = lapse;
         }
         cw_pool_plan_soon(s, p);
     }
 }
 
+void
+cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+{
+    w->unproved_lapse_at = now + START_ARRIVAL_MS + longest_unproved(s);
+}
+
+void
+cw_sched_start_clock(struct cw_sched *s, const struct cw_worker *w,
+                     const struct cw_run_row *r, int64_t clock_ms, cw_ms now)
+{
+    struct cw_task *t = cw_sched_find_task(s, r);
+    cw_ms age = now - w->clock_at + ANSWER_DELAY_MS;
+
+    /* A process that already ran when the last report was sent is the one that
+     * sent it. */
+    if (t != NULL && t->worker == w && t->run == r->run && w->clock_at != 0 &&
+        (double)clock_ms > (double)age * (1.0 + CLOCK_DRIFT_MAX)) {
+        t->proved = true;
+    }
+}
+
+static bool
+lease_has_lapsed(const struct cw_sched *s, const struct cw_task *t, cw_ms now)
+{
+    const struct cw_worker *w = t->worker;
+    bool unsent = t->state == CW_RUN_STARTING && t->order_batch > s->committed;
+
+    return now >= w->lapse_at &&
+           (t->proved || unsent || now >= w->unproved_lapse_at);
+}
+
+static uint32_t
+drop_lapsed(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+{
+    struct cw_task *t = w->tasks;
+    uint32_t n = 0;
+
+    while (t != NULL) {
+        struct cw_task *next = t->next;
+
+        if (lease_has_lapsed(s, t, now)) {
+            cw_task_lost(s, t, CW_LOSS_LAPSED, now);
+            n++;
+        }
+        t = next;
+    }
+    return n;
+}
+
 void
 cw_sched_expire_leases(struct cw_sched *s, cw_ms now)
 {
     for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
         for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
-            if (w->tasks != NULL && w->lapse_at != 0 && now >= w->lapse_at) {
+            uint32_t n = w->lapse_at != 0 && now >= w->lapse_at
+                             ? drop_lapsed(s, w, now)
+                             : 0;
+
+            if (n > 0) {
                 cw_log(CW_WARN, "leases_lapsed",
-                       "worker=%s tasks=%u silent_ms=%lld", w->id.text,
-                       w->task_count, (long long)(now - w->seen_at));
-                cw_sched_worker_lost(s, w, CW_LOSS_LAPSED, now);
+                       "worker=%s tasks=%u silent_ms=%lld", w->id.text, n,
+                       (long long)(now - w->seen_at));
             }
         }
     }
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -237,6 +237,7 @@
         return;
     }
     t->last_report = w->reports;
+    t->proved = true;
     t->measured = r->measured;
     keep_checkpoint(t, r->checkpoint);
     if (t->state == CW_RUN_STARTING) {
@@ -294,7 +295,7 @@
         if (r->born_wall < w->born_wall) {
             return;
         }
-        cw_worker_new_incarnation(s, w, r->born_wall);
+        cw_worker_new_incarnation(s, w, r->born_wall, now);
     }
     w->clock_ms = r->clock_ms;
     w->clock_at = now;
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -280,9 +280,7 @@
     }
     if (t->state == CW_RUN_STARTING && t->order_batch > s->committed) {
         /* The start is not sent yet: drop it. */
-        unlink_unsent(s, t);
-        t->unsent_next = NULL;
-        cw_task_requeue(s, t, CW_LOSS_UNSENT, now);
+        cw_task_lost(s, t, CW_LOSS_UNSENT, now);
         return;
     }
     cw_task_set_state(t, CW_RUN_STOPPING);
@@ -293,16 +291,21 @@
     s->ops->stop(s->ctx, t->worker, &row);
 }
 
+void
+cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
+             cw_ms now)
+{
+    unlink_unsent(s, t);
+    t->unsent_next = NULL;
+    cw_task_requeue(s, t, why, now);
+}
+
 void
 cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w,
                      enum cw_run_loss why, cw_ms now)
 {
     while (w->tasks != NULL) {
-        struct cw_task *t = w->tasks;
-
-        unlink_unsent(s, t);
-        t->unsent_next = NULL;
-        cw_task_requeue(s, t, why, now);
+        cw_task_lost(s, w->tasks, why, now);
     }
 }
 
@@ -400,7 +403,7 @@
         pool_add_worker(p, w);
     }
     if (e->born_wall > w->born_wall) {
-        cw_worker_new_incarnation(s, w, e->born_wall);
+        cw_worker_new_incarnation(s, w, e->born_wall, now);
     }
     copy_entry(s, w, e);
     if (w->state != state) {
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -142,8 +142,9 @@
     uint64_t epoch;
 };
 
+/* clock_ms: the worker's clock at its answer, 0 when it gave none. */
 typedef void (*cw_start_done)(void *arg, enum cw_status s,
-                              enum cw_start_answer a);
+                              enum cw_start_answer a, int64_t clock_ms);
 /* CW_ERR_FENCED: the worker has seen a higher epoch. CW_ERR_NOT_FOUND:
  * another incarnation of the worker runs there now. */
 typedef void (*cw_worker_done)(void *arg, enum cw_status s);
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -233,7 +233,7 @@
         answer_owner(a);
         break;
     case START:
-        a->u.start(a->arg, a->status, CW_START_OK);
+        a->u.start(a->arg, a->status, CW_START_OK, 0);
         break;
     case ORDER:
         a->u.order(a->arg, a->status);
--- a/tests/jobs_util.c
+++ b/tests/jobs_util.c
@@ -26,6 +26,7 @@
     struct cw_run_row r = cw_task_row(t);
 
     (void)cw_worker_lease_until(&f->s, t->worker, true, f->now);
+    cw_worker_start_sent(&f->s, t->worker, f->now);
     record_op(ctx, 's', t->worker, &r, t->checkpoint);
 }
 
--- a/tests/test_jobd_settings.c
+++ b/tests/test_jobd_settings.c
@@ -31,6 +31,8 @@
         {"{" ADDRESSES ",\"vm_control\":\"here\"}", CW_ERR_INVALID},
         {"{" ADDRESSES ",\"grace_s\":\"long\"}", CW_ERR_INVALID},
         {"{" ADDRESSES ",\"cores\":0}", CW_ERR_INVALID},
+        {"{" ADDRESSES ",\"max_hold_ms\":6000}", CW_OK},
+        {"{" ADDRESSES ",\"max_hold_ms\":0}", CW_ERR_INVALID},
         {"{\"daemon\":\"d\"}", CW_ERR_INVALID},
         {"[]", CW_ERR_INVALID},
         {"{", CW_ERR_INVALID},
@@ -70,6 +72,12 @@
     assert_int_equal(s.status_ms, 120000);
     assert_int_equal(s.move_ms, 1500);
     assert_int_equal(s.member_ttl_ms, 1000);
+    assert_int_equal(s.max_hold_ms, 10000);
+    assert_int_equal(
+        cw_jobd_settings_parse(
+            &s, CW_LIT("{" ADDRESSES ",\"max_hold_ms\":6000}"), &faults),
+        CW_OK);
+    assert_int_equal(s.max_hold_ms, 6000);
 }
 
 int
--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -205,6 +205,108 @@
     assert_null(only_task()->worker);
 }
 
+/* ---- leases ---- */
+
+#define MAX_HOLD_MS 10000
+
+/* Time from now on until the only task is given up. */
+static cw_ms
+time_to_lapse(void)
+{
+    cw_ms from = f.now;
+
+    while (only_task()->worker != NULL && f.now - from < 60000) {
+        f.now += 50;
+        cw_sched_expire_leases(&f.s, f.now);
+    }
+    return f.now - from;
+}
+
+/* A start that reaches a restarted worker carries the end of its lease on the
+ * former incarnation's clock, far ahead on the new one: the worker shortens it
+ * only to its maximum. The scheduler counted on the lease that it had meant,
+ * and a worker that was then cut off ran its tasks beside their next runs. */
+static void
+test_lease_of_an_unproved_incarnation(void **state)
+{
+    (void)state;
+    enum proof { NONE, LISTING, OLD_CLOCK, NEW_CLOCK, RESTART, LATER };
+    static const struct {
+        enum run_phase phase;
+        enum proof proof;
+        bool longest;
+    } cases[] = {{UNANSWERED, NONE, true},     {ANSWERED, NONE, true},
+                 {ANSWERED, LISTING, false},   {ANSWERED, OLD_CLOCK, false},
+                 {ANSWERED, NEW_CLOCK, true},  {ANSWERED, RESTART, true},
+                 {UNANSWERED, RESTART, true},  {ANSWERED, LATER, false},
+                 {LOADED_RUNNING, NONE, false}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_worker *w;
+        struct cw_run_row row;
+        cw_ms ms;
+
+        f.s.limits.max_hold_ms = MAX_HOLD_MS;
+        w = begin_run(cases[i].phase);
+        f.s.limits.max_hold_ms = MAX_HOLD_MS;
+        row = cw_task_row(only_task());
+        f.now += 20;
+        if (cases[i].proof == LISTING) {
+            report(w, 1000, 10, &row);
+        }
+        if (cases[i].proof == OLD_CLOCK || cases[i].proof == NEW_CLOCK) {
+            cw_sched_start_clock(&f.s, w, &row,
+                                 cases[i].proof == OLD_CLOCK ? 60000 : 15,
+                                 f.now);
+        }
+        if (cases[i].proof == RESTART || cases[i].proof == LATER) {
+            report(w, 2000, 10, &row);
+        }
+        for (int k = 0; cases[i].proof == LATER && k < 12; k++) {
+            f.now += 1000;
+            (void)cw_worker_lease_until(&f.s, w, true, f.now);
+            report(w, 2000, 10, &row);
+        }
+        ms = time_to_lapse();
+        if (cases[i].longest) {
+            assert_in_range(ms, MAX_HOLD_MS, MAX_HOLD_MS * 11 / 10);
+        }
+        else {
+            assert_in_range(ms, JOBS_LEASE_MS, JOBS_LEASE_MS * 15 / 10);
+        }
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
+/* A previous scheduler may have sent such a start. */
+static void
+test_lease_after_takeover(void **state)
+{
+    (void)state;
+    static const struct {
+        cw_ms age; /* of the incarnation, at the takeover */
+        bool longest;
+    } cases[] = {{500, true}, {9000, true}, {60000, false}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_job_spec s = jobs_spec(7, 1, 1000);
+        int64_t born = f.now + f.s.wall_offset - cases[i].age;
+        cw_ms ms;
+
+        report(list_worker("w1", born), born, 0, NULL);
+        jobs_accept(&f, &s);
+        jobs_commit(&f);
+        jobs_take_over(&f);
+        f.s.limits.max_hold_ms = MAX_HOLD_MS;
+        (void)list_worker("w1", born);
+        ms = time_to_lapse();
+        assert_true(cases[i].longest ? ms >= MAX_HOLD_MS : ms < MAX_HOLD_MS);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
 int
 main(void)
 {
@@ -215,6 +317,10 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_old_start_is_answered, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_lease_of_an_unproved_incarnation,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_lease_after_takeover, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
