Jobs: a late end `done` of a run that was given up counts

A run that was given up, as its lease had lapsed by the worst clock or its worker was thought gone, may have ended done. Its worker listed that end when it was back; the scheduler ignored it, acknowledged it, and started the task again.

Cause: apply_end took only ends of the run that is placed on the reporting worker.

Evidence: test_late_done failed before with "0x2 != 0x1" (tasks left after the end was reported).

Change: the first done of any run counts. A task that waits is done; a planned start is dropped; a run that has started since is stopped, not counted on, and not followed by a third. For a gang all members are done, as for a done in time. Other ends of runs that were given up change nothing, as before, nor does one of a lasting task or an ended job.

With it: the pool of the job is planned when its task ends, not only the pool of the worker, whose entry may have moved to another service in between (test_end_on_a_moved_worker failed before with "0x1 != 0x2" starts).

--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -53,6 +53,7 @@
         return;
     }
     cw_task_set_state(t, CW_RUN_DONE);
+    cw_pool_plan_soon(s, j->pool);
     t->state_since = now;
     j->tasks_left[t->occurrence * j->spec.step_count + t->step]--;
     if (j->tasks_left[t->occurrence * j->spec.step_count + t->step] == 0) {
@@ -138,11 +139,12 @@
 }
 
 static void
-apply_done_end(struct cw_sched *s, struct cw_task *t, cw_ms now)
+apply_done_end(struct cw_sched *s, struct cw_worker *w, struct cw_task *t,
+               cw_ms now)
 {
     struct cw_job_entry *j = t->job;
 
-    record_worker_outcome(t->worker, j, true, now);
+    record_worker_outcome(w, j, true, now);
     if (cw_task_step(t)->lasting) {
         cw_task_requeue(s, t, CW_LOSS_ENDED, now);
         return;
@@ -177,6 +179,51 @@
     }
 }
 
+/* Stops a run of the task that is later than the one that is done. */
+static void
+stop_later_run(struct cw_sched *s, struct cw_task *t, uint32_t done, cw_ms now)
+{
+    struct cw_run_row row = cw_task_row(t);
+
+    if (t->worker == NULL || t->run <= done) {
+        return;
+    }
+    if (t->state == CW_RUN_STARTING && t->order_batch > s->committed) {
+        cw_task_lost(s, t, CW_LOSS_UNSENT, now);
+        return;
+    }
+    s->ops->stop(s->ctx, t->worker, &row);
+    cw_task_requeue(s, t, CW_LOSS_ENDED, now);
+}
+
+/* A run that was given up is done after all. Its task is done, whatever has
+ * been started since. */
+static bool
+apply_late_done(struct cw_sched *s, struct cw_worker *w, struct cw_task *t,
+                uint32_t run, cw_ms now)
+{
+    struct cw_job_entry *j = t->job;
+
+    if (t->state == CW_RUN_DONE || run > t->run || cw_job_ended(j) ||
+        cw_task_step(t)->lasting) {
+        return false;
+    }
+    cw_log(CW_INFO, "end_late",
+           "job=%016llx task=%u.%u.%u run=%u worker=%s known_run=%u",
+           (unsigned long long)j->id, t->occurrence, t->step, t->index, run,
+           w->id.text, t->run);
+    for (size_t i = 0; i < j->task_count; i++) {
+        struct cw_task *o = &j->tasks[i];
+
+        if (o == t || (cw_task_step(t)->gang && o->step == t->step &&
+                       o->occurrence == t->occurrence)) {
+            stop_later_run(s, o, run, now);
+        }
+    }
+    apply_done_end(s, w, t, now);
+    return true;
+}
+
 static void
 apply_end(struct cw_sched *s, struct cw_worker *w, const struct cw_end_row *e,
           cw_ms now)
@@ -186,6 +233,10 @@
                                         "lapsed", "broken", "alone"};
 
     if (t == NULL || t->worker != w || t->run != e->run.run) {
+        if (t != NULL && e->how == CW_END_DONE &&
+            apply_late_done(s, w, t, e->run.run, now)) {
+            return;
+        }
         cw_log(CW_INFO, "end_ignored",
                "job=%016llx task=%u.%u.%u run=%u worker=%s how=%s reason=%s",
                (unsigned long long)e->run.job, e->run.occurrence, e->run.step,
@@ -203,7 +254,7 @@
     keep_checkpoint(t, e->run.checkpoint);
     switch (e->how) {
     case CW_END_DONE:
-        apply_done_end(s, t, now);
+        apply_done_end(s, w, t, now);
         break;
     case CW_END_FAILED:
         apply_failed_end(s, t, now);
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -250,6 +250,9 @@
     }
     cw_task_unplace(s, t, now);
     cw_task_set_state(t, CW_RUN_WAITING);
+    if (t->job->pool != NULL) {
+        cw_pool_plan_soon(s, t->job->pool); /* its worker's may be another */
+    }
     t->state_since = now;
     t->ready_at = now;
     t->started_up = false;
