Jobs: a report with unreadable rows is no full list

What callers would see: a task that runs twice (TWICE). Rows of a report that could not be read were left out, so that the run they name was in neither list and counted as over; and an unreadable end was forgotten by the worker with the acknowledgement of a later one.

Evidence: test_unreadable_rows (the adapter) failed before with "0 != 0x1" (a report with an unreadable row passed for a full one), test_partial_report with "0 != 0x..." (the run was given up).

Change: such a report is marked partial. Its other rows count; no run is over as it isn't listed, and no end is acknowledged. A row without a whole number as run or number can't be read either; an end whose kind is unknown is an end, as before.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -464,6 +464,12 @@
             a->next_report_at = now + REPORT_RETRY_MS;
         }
         r->sent_at = a->report_sent;
+        if (r->partial) {
+            cw_log(CW_WARN, "report_unreadable",
+                   "worker=%s running=%zu ended=%zu", a->worker->id.text,
+                   r->running_count, r->ended_count);
+            a->next_report_at = now + REPORT_RETRY_MS;
+        }
         cw_sched_report(d->sched, a->worker, r, now);
         a->report_due = a->worker->ack_pending > a->worker->acked
                             ? now + ACK_WAIT_MS
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -288,6 +288,7 @@
     /* The call was certain to reach the incarnation that reported before: the
      * lease and the acknowledgement were sent with it. */
     bool proved;
+    bool partial; /* it has rows that can't be read, and are left out */
     int64_t born_wall;
     int64_t clock_ms;
     const struct cw_run_row *running;
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -359,6 +359,9 @@
     for (size_t i = 0; i < r->ended_count; i++) {
         if (r->ended[i].number > w->ack_pending) {
             apply_end(s, w, &r->ended[i], now);
+        }
+        /* With a later end, one that can't be read would be forgotten. */
+        if (r->ended[i].number > w->ack_pending && !r->partial) {
             w->ack_pending = r->ended[i].number;
             w->ack_batch = s->batch;
             cw_worker_await_ack(s, w);
@@ -367,7 +370,7 @@
     for (size_t i = 0; i < r->running_count; i++) {
         apply_running(s, w, &r->running[i], now);
     }
-    if (r->ended_count < ENDS_LISTED_MAX) {
+    if (r->ended_count < ENDS_LISTED_MAX && !r->partial) {
         drop_unlisted(s, w, r, now);
     }
 }
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -241,7 +241,7 @@
 static bool
 on_wire(const char *answer)
 {
-    static char text[256];
+    static char text[400];
 
     (void)snprintf(text, sizeof(text), "%s", answer);
     server.answer = text;
@@ -252,6 +252,9 @@
     int done;
     enum cw_status status;
     bool proved;
+    bool partial;
+    size_t running;
+    size_t ended;
 };
 
 static void
@@ -262,6 +265,9 @@
     o->done++;
     o->status = s;
     o->proved = r != NULL && r->proved;
+    o->partial = r != NULL && r->partial;
+    o->running = r != NULL ? r->running_count : 0;
+    o->ended = r != NULL ? r->ended_count : 0;
 }
 
 /* A worker that answers 503 lives and may run its tasks. Taken for a refused
@@ -378,6 +384,66 @@
     ports.exec.close(c);
 }
 
+/* Rows that can't be read were left out of the report, so that their runs
+ * looked as if they had ended, and started again. */
+static void
+test_unreadable_rows(void **state)
+{
+    (void)state;
+#define TASK "\"00000000000000a1.0.0.1\""
+    static const struct {
+        const char *running;
+        const char *ended;
+        bool partial;
+        size_t running_count;
+        size_t ended_count;
+    } cases[] = {
+        {"[" TASK ",1,\"\",40]", "[1," TASK ",1,\"done\",\"\"]", false, 1, 1},
+        {"[" TASK ",1,\"\",40],[\"x\",1,\"\",40]", "", true, 1, 0},
+        {"[7,1,\"\",40],[" TASK ",1,\"\",40]", "", true, 1, 0},
+        {"[" TASK ",\"1\",\"\",40]", "", true, 0, 0},
+        {"{}", "", true, 0, 0},
+        {"", "[1,\"\",1,\"done\",\"\"],[2," TASK ",1,\"done\",\"\"]", true, 0,
+         1},
+        {"", "[\"1\"," TASK ",1,\"done\",\"\"]", true, 0, 0},
+        {"", "[1," TASK ",1,\"vanished\",\"\"]", false, 0, 1}, /* an end */
+        {"", "3", true, 0, 0},
+    };
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_worker_conn *c;
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    c = ports.exec.open(&p, &id, &address);
+    assert_non_null(c);
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct report_outcome o = {0};
+        char body[256];
+        char answer[400];
+        int n = snprintf(body, sizeof(body),
+                         "{\"clockMs\":5,\"running\":[%s],\"ended\":[%s]}",
+                         cases[i].running, cases[i].ended);
+
+        (void)snprintf(answer, sizeof(answer),
+                       "HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s", n,
+                       body);
+        assert_true(on_wire(answer));
+        ports.exec.poll(c, 0, 1, 0, 0, 5000, on_report, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        assert_int_equal(o.status, CW_OK);
+        assert_int_equal(o.partial, cases[i].partial);
+        assert_int_equal(o.running, cases[i].running_count);
+        assert_int_equal(o.ended, cases[i].ended_count);
+    }
+    ports.exec.close(c);
+}
+
 int
 main(void)
 {
@@ -389,6 +455,7 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_acks_reach_one_incarnation, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_unreadable_rows, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -469,6 +469,39 @@
     }
 }
 
+/* A report with rows that can't be read is no full list: its other rows count,
+ * but no run is over as it is not listed, and no end is acknowledged, as one
+ * that can't be read would be forgotten with it. */
+static void
+test_partial_report(void **state)
+{
+    (void)state;
+    struct cw_job_spec s = jobs_spec(7, 2, 1000);
+    struct cw_worker *w = jobs_add_worker(&f, "w1", "v1", 4000);
+    struct cw_job_entry *j = jobs_accept(&f, &s);
+    struct cw_end_row e = {.number = 4, .how = CW_END_DONE};
+    struct cw_run_report r = {.born_wall = w->born_wall,
+                              .ended = &e,
+                              .ended_count = 1,
+                              .partial = true};
+
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    e.run = cw_task_row(&j->tasks[0]);
+    for (int i = 0; i < 2; i++) {
+        f.now += 100;
+        r.sent_at = f.now - 10;
+        cw_sched_report(&f.s, w, &r, f.now);
+        assert_int_equal(j->tasks[0].state, CW_RUN_DONE);
+        assert_ptr_equal(j->tasks[1].worker, w);
+        assert_int_equal(w->ack_pending, 0);
+    }
+    r.partial = false;
+    cw_sched_report(&f.s, w, &r, f.now);
+    assert_null(j->tasks[1].worker);
+    assert_int_equal(w->ack_pending, 4);
+}
+
 /* A worker's entry moved to another service while it ran a task. When the run
  * ended, only the worker's new pool was planned, and the task waited for
  * another event of its own. */
@@ -516,6 +549,7 @@
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_late_done, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_partial_report, setup, teardown),
         cmocka_unit_test_setup_teardown(test_end_on_a_moved_worker, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_kv, setup, teardown),
