--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -171,7 +171,8 @@
 }
 
 static void
-on_start(void *arg, enum cw_status s, enum cw_start_answer answer)
+on_start(void *arg, enum cw_status s, enum cw_start_answer answer,
+         int64_t clock_ms)
 {
     struct order *o = arg;
     struct cw_agent *a = o->agent;
@@ -192,6 +193,7 @@
         }
         cw_sched_start_answered(d->sched, w, &o->row, answer, o->unanswered,
                                 now);
+        cw_sched_start_clock(d->sched, w, &o->row, clock_ms, now);
         free(o);
     }
     else {
@@ -270,10 +272,24 @@
     };
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
+    cw_worker_start_sent(d->sched, a->worker, now);
     cw_member_count_unproved(d, "start");
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
 }
 
+/* A start carries the end of its lease, on a clock that is unknown between a
+ * worker's restart and its next report. To a silent worker none is repeated: a
+ * restarted one may receive each, and hold its runs the longer. */
+static bool
+is_order_due(const struct order *o, cw_ms now)
+{
+    const struct cw_agent *a = o->agent;
+
+    return o->due <= now &&
+           (o->kind != ORDER_START || (a->worker->clock_at != 0 &&
+                                       (!o->unanswered || a->failures == 0)));
+}
+
 /* Sends an order, or drops a start whose task no longer waits for it. */
 static void
 send_order(struct cw_agent *a, struct order *o, cw_ms now)
@@ -309,7 +325,7 @@
     while (*link != NULL && a->in_flight < ORDERS_IN_FLIGHT_MAX) {
         struct order *o = *link;
 
-        if (o->due > now) {
+        if (!is_order_due(o, now)) {
             link = &o->next;
             continue;
         }
@@ -410,9 +426,6 @@
     if (s == CW_ERR_NOT_FOUND) {
         cw_sched_worker_lost(d->sched, w, CW_LOSS_OTHER, now);
     }
-    else if (s == CW_ERR_UNAVAILABLE) {
-        cw_sched_worker_conn_refused(d->sched, w, now);
-    }
     w->retry_at = now + UNANSWERED_PAUSE_MS;
 }
 
@@ -441,9 +454,22 @@
                    a->worker->id.text, a->failures);
         }
         a->failures = 0;
-        a->acked_sent = a->report_acked;
         a->next_report_at = now + cw_loop_lag_report_delay(&d->lag);
+        if (r->proved) {
+            a->acked_sent = a->report_acked;
+        }
+        else if (a->report_acked > a->acked_sent) {
+            /* A worker that closes each connection gets no acknowledgement,
+             * and no more calls for it than a silent one. */
+            a->next_report_at = now + REPORT_RETRY_MS;
+        }
         r->sent_at = a->report_sent;
+        if (r->partial) {
+            cw_log(CW_WARN, "report_unreadable",
+                   "worker=%s running=%zu ended=%zu", a->worker->id.text,
+                   r->running_count, r->ended_count);
+            a->next_report_at = now + REPORT_RETRY_MS;
+        }
         cw_sched_report(d->sched, a->worker, r, now);
         a->report_due = a->worker->ack_pending > a->worker->acked
                             ? now + ACK_WAIT_MS
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -107,15 +107,13 @@
 
 /* Why a run no longer counts as alive, so that its task waits again. */
 enum cw_run_loss {
-    CW_LOSS_ENDED,       /* the worker reported its end */
-    CW_LOSS_UNSENT,      /* its start was dropped before it was sent */
-    CW_LOSS_REFUSED,     /* the worker refused its start */
-    CW_LOSS_UNLISTED,    /* a report does not list it */
-    CW_LOSS_LAPSED,      /* its lease has lapsed */
-    CW_LOSS_RESTARTED,   /* its worker has restarted under its id */
-    CW_LOSS_REPLACED,    /* a later worker of its VM is listed */
-    CW_LOSS_OTHER,       /* another worker answers at the address */
-    CW_LOSS_UNREACHABLE, /* not listed, and connections are refused */
+    CW_LOSS_ENDED,    /* the worker reported its end */
+    CW_LOSS_UNSENT,   /* its start was dropped before it was sent */
+    CW_LOSS_REFUSED,  /* the worker refused its start */
+    CW_LOSS_UNLISTED, /* a report does not list it */
+    CW_LOSS_LAPSED,   /* its lease has lapsed */
+    CW_LOSS_REPLACED, /* a later worker of its VM is listed */
+    CW_LOSS_OTHER,    /* another worker answers at the address */
 };
 
 struct cw_job_entry;
@@ -128,7 +126,8 @@
     uint16_t step;
     uint8_t state;   /* enum cw_run_state */
     bool started_up; /* a lasting task that has finished its start-up */
-    uint32_t run;    /* number of the latest run, 0: none yet */
+    bool proved;  /* the incarnation that reports has carried out its start */
+    uint32_t run; /* number of the latest run, 0: none yet */
     uint32_t failures;
     struct cw_worker *worker;
     struct cw_task *prev; /* in the worker's list */
@@ -219,8 +218,9 @@
     int64_t clock_ms;       /* the worker's clock at clock_at */
     cw_ms clock_at;         /* the scheduler's clock then; 0: unknown */
     int64_t lease_until_ms; /* lease sent last, on its clock; 0: none */
-    cw_ms lapse_at;         /* all leases of its runs have lapsed by then */
-    uint64_t ack_pending;   /* ends up to this number are in ack_batch */
+    cw_ms lapse_at;         /* all leases of its runs have lapsed by then .. */
+    cw_ms unproved_lapse_at; /* .. or then, of those not proved */
+    uint64_t ack_pending;    /* ends up to this number are in ack_batch */
     uint64_t ack_batch;
     uint64_t acked;             /* ends up to this number are durable */
     struct cw_worker *ack_next; /* in cw_sched.acks */
@@ -285,6 +285,10 @@
 
 struct cw_run_report {
     cw_ms sent_at; /* time of the call that the report answers */
+    /* The call was certain to reach the incarnation that reported before: the
+     * lease and the acknowledgement were sent with it. */
+    bool proved;
+    bool partial; /* it has rows that can't be read, and are left out */
     int64_t born_wall;
     int64_t clock_ms;
     const struct cw_run_row *running;
@@ -333,8 +337,9 @@
 
 /* Limits that the platform sets. */
 struct cw_sched_limits {
-    cw_ms status_ms; /* how long ended jobs are kept */
-    cw_ms lease_ms;  /* length of a worker's lease */
+    cw_ms status_ms;   /* how long ended jobs are kept */
+    cw_ms lease_ms;    /* length of a worker's lease */
+    cw_ms max_hold_ms; /* a worker shortens longer ones to this */
 };
 
 /* A key-value pair in the scheduler's stream, kept across takeovers. */
@@ -456,7 +461,7 @@
 /* The value of a key, empty when there is none. */
 struct cw_str cw_sched_kv_get(struct cw_sched *s, struct cw_str key);
 
-/* ---- jobs_worker.c, jobs_report.c: workers ---- */
+/* ---- jobs_worker.c, jobs_lease.c, jobs_report.c: workers ---- */
 
 /* Finds the pool of a service, or adds one; NULL when memory is short. */
 struct cw_pool *cw_sched_get_pool(struct cw_sched *s, struct cw_str service);
@@ -494,6 +499,13 @@
  * worker's clock is unknown. */
 int64_t cw_worker_lease_until(struct cw_sched *s, struct cw_worker *w,
                               bool renew, cw_ms now);
+/* A start was sent to the worker. */
+void cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now);
+/* The worker's clock when it accepted a start: shows whether the incarnation
+ * that reported last has carried it out. */
+void cw_sched_start_clock(struct cw_sched *s, const struct cw_worker *w,
+                          const struct cw_run_row *r, int64_t clock_ms,
+                          cw_ms now);
 /* Requeues the tasks of workers whose leases have lapsed. */
 void cw_sched_expire_leases(struct cw_sched *s, cw_ms now);
 /* Stops a task's run; after its end the task waits again, unless its job has
@@ -501,10 +513,6 @@
 void cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, cw_ms now);
 /* Names a task's current run. */
 struct cw_run_row cw_task_row(const struct cw_task *t);
-/* The connection was refused: a worker that is no longer in the list has
- * ended, and its tasks are requeued. */
-void cw_sched_worker_conn_refused(struct cw_sched *s, struct cw_worker *w,
-                                  cw_ms now);
 
 /* ---- jobs_times.c ---- */
 
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -4,14 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A worker's clock may run slower than the scheduler's by up to this share. */
-#define CLOCK_DRIFT_MAX 0.02
-/* Delay of the worker's own timer, added to the time after which a lease has
- * certainly lapsed. */
-#define LAPSE_MARGIN_MS 250
-/* A previous scheduler may go on renewing leases until its membership of the
- * group expires. */
-#define PREVIOUS_SCHEDULER_MS 1500
 /* An entry born later than this after now is no worker's: it would end the
  * earlier incarnations of its VM, and hide the later ones. The clocks of the
  * worker and of this daemon may differ. */
@@ -237,9 +229,9 @@
 static void
 log_run_given_up(const struct cw_task *t, enum cw_run_loss why, cw_ms now)
 {
-    static const char *const reasons[] = {
-        "ended",     "unsent",   "refused",      "unlisted",   "lapsed",
-        "restarted", "replaced", "other_worker", "unreachable"};
+    static const char *const reasons[] = {"ended",       "unsent", "refused",
+                                          "unlisted",    "lapsed", "replaced",
+                                          "other_worker"};
     static const char *const states[] = {"waiting", "starting", "running",
                                          "stopping", "done"};
     const struct cw_worker *w = t->worker;
@@ -263,6 +255,9 @@
     }
     cw_task_unplace(s, t, now);
     cw_task_set_state(t, CW_RUN_WAITING);
+    if (t->job->pool != NULL) {
+        cw_pool_plan_soon(s, t->job->pool); /* its worker's may be another */
+    }
     t->state_since = now;
     t->ready_at = now;
     t->started_up = false;
@@ -293,9 +288,7 @@
     }
     if (t->state == CW_RUN_STARTING && t->order_batch > s->committed) {
         /* The start is not sent yet: drop it. */
-        unlink_unsent(s, t);
-        t->unsent_next = NULL;
-        cw_task_requeue(s, t, CW_LOSS_UNSENT, now);
+        cw_task_lost(s, t, CW_LOSS_UNSENT, now);
         return;
     }
     cw_task_set_state(t, CW_RUN_STOPPING);
@@ -307,91 +300,23 @@
 }
 
 void
-cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w,
-                     enum cw_run_loss why, cw_ms now)
-{
-    while (w->tasks != NULL) {
-        struct cw_task *t = w->tasks;
-
-        unlink_unsent(s, t);
-        t->unsent_next = NULL;
-        cw_task_requeue(s, t, why, now);
-    }
-}
-
-/* ---- leases ---- */
-
-int64_t
-cw_worker_lease_until(struct cw_sched *s, struct cw_worker *w, bool renew,
-                      cw_ms now)
+cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
+             cw_ms now)
 {
-    cw_ms age = now - w->clock_at;
-    cw_ms lapse;
-
-    if (w->clock_at == 0) {
-        return 0;
-    }
-    if (!renew && w->lease_until_ms > 0) {
-        return w->lease_until_ms;
-    }
-    lapse =
-        now + LAPSE_MARGIN_MS +
-        (cw_ms)(((double)s->limits.lease_ms + CLOCK_DRIFT_MAX * (double)age) /
-                (1.0 - CLOCK_DRIFT_MAX));
-    if (lapse > w->lapse_at) {
-        w->lapse_at = lapse;
-    }
-    w->lease_until_ms = w->clock_ms + age + s->limits.lease_ms;
-    return w->lease_until_ms;
-}
-
-void
-cw_sched_loaded(struct cw_sched *s, cw_ms now)
-{
-    cw_ms longest =
-        (cw_ms)((double)s->limits.lease_ms / (1.0 - CLOCK_DRIFT_MAX)) +
-        LAPSE_MARGIN_MS + PREVIOUS_SCHEDULER_MS;
-
-    for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
-        for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
-            w->lapse_at = now + longest;
-        }
-        cw_pool_plan_soon(s, p);
-    }
+    unlink_unsent(s, t);
+    t->unsent_next = NULL;
+    cw_task_requeue(s, t, why, now);
 }
 
 void
-cw_sched_expire_leases(struct cw_sched *s, cw_ms now)
+cw_sched_worker_lost(struct cw_sched *s, struct cw_worker *w,
+                     enum cw_run_loss why, cw_ms now)
 {
-    for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
-        for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
-            if (w->tasks != NULL && w->lapse_at != 0 && now >= w->lapse_at) {
-                cw_log(CW_WARN, "leases_lapsed",
-                       "worker=%s tasks=%u silent_ms=%lld", w->id.text,
-                       w->task_count, (long long)(now - w->seen_at));
-                cw_sched_worker_lost(s, w, CW_LOSS_LAPSED, now);
-            }
-        }
+    while (w->tasks != NULL) {
+        cw_task_lost(s, w->tasks, why, now);
     }
 }
 
-void
-cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
-                          int64_t born, cw_ms now)
-{
-    if (w->born_wall != 0) {
-        cw_log(CW_INFO, "worker_restarted", "worker=%s born=%lld was=%lld",
-               w->id.text, (long long)born, (long long)w->born_wall);
-        cw_sched_worker_lost(s, w, CW_LOSS_RESTARTED, now);
-        w->ack_pending = 0;
-        w->acked = 0;
-        w->clock_at = 0;
-        w->lease_until_ms = 0;
-        w->contacted = false;
-    }
-    w->born_wall = born;
-}
-
 /* ---- the list ---- */
 
 static void
@@ -525,17 +450,6 @@
     w->gone_at = now;
 }
 
-void
-cw_sched_worker_conn_refused(struct cw_sched *s, struct cw_worker *w,
-                             cw_ms now)
-{
-    if (w->state == CW_WORKER_GONE && w->tasks != NULL) {
-        cw_log(CW_INFO, "worker_ended", "worker=%s tasks=%u", w->id.text,
-               w->task_count);
-        cw_sched_worker_lost(s, w, CW_LOSS_UNREACHABLE, now);
-    }
-}
-
 /* ---- acknowledgements ---- */
 
 void
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -151,8 +151,9 @@
     uint64_t epoch;
 };
 
+/* clock_ms: the worker's clock at its answer, 0 when it gave none. */
 typedef void (*cw_start_done)(void *arg, enum cw_status s,
-                              enum cw_start_answer a);
+                              enum cw_start_answer a, int64_t clock_ms);
 /* CW_ERR_FENCED: the worker has seen a higher epoch. CW_ERR_NOT_FOUND:
  * another incarnation of the worker runs there now. */
 typedef void (*cw_worker_done)(void *arg, enum cw_status s);
@@ -174,7 +175,9 @@
                  cw_worker_done done, void *arg);
     /* Gets the running and the ended runs; waits up to wait_ms for a run to
      * end. Also extends the lease to until_ms (0: leaves it unchanged) and
-     * acknowledges ended runs with numbers up to acked. */
+     * acknowledges ended runs with numbers up to acked, both only when the
+     * call can reach no other incarnation than the one that reported before:
+     * the report's member proved says so. */
     void (*poll)(struct cw_worker_conn *c, int64_t until_ms, uint64_t epoch,
                  uint64_t acked, cw_ms wait_ms, cw_ms timeout,
                  cw_report_done done, void *arg);
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -21,7 +21,8 @@
     enum cw_status status;
     enum cw_stream stream;
     uint64_t number;
-    bool flag; /* JOIN: the member is the owner; PAGE: with records */
+    /* JOIN: the member is the owner; PAGE: with records; REPORT: proved */
+    bool flag;
     char name[64];
     struct fake_worker *worker;
     struct cw_worker_conn *conn; /* of a call to a worker */
@@ -32,6 +33,7 @@
     struct fake_platform *f;
     struct fake_worker *worker;
     struct answer *open;
+    int64_t reported; /* the incarnation that has reported on it */
 };
 
 static cw_ms
@@ -97,6 +99,7 @@
 
     (void)snprintf(w->id, sizeof(w->id), "w-%zu", f->worker_count);
     w->next_end = 1;
+    w->born = 1;
     (void)snprintf(value, sizeof(value),
                    "{\"service\":\"%s\",\"address\":\"127.0.0.1:9\","
                    "\"state\":\"ready\",\"capacity\":{\"cpu\":4000,"
@@ -105,6 +108,16 @@
     fake_put(f, CW_STREAM_WORKERS, w->id, value);
 }
 
+void
+fake_restart_worker(struct fake_worker *w)
+{
+    w->born++;
+    w->fence = 0;
+    w->next_end = 1;
+    w->acked = 0;
+    w->run_count = 0;
+}
+
 /* ---- answers ---- */
 
 static void
@@ -146,7 +159,8 @@
     struct fake_worker *w = a->worker;
     struct cw_run_row running[FAKE_RUNS_MAX] = {0};
     struct cw_end_row ended[FAKE_RUNS_MAX] = {0};
-    struct cw_run_report r = {.born_wall = 1, .clock_ms = fake_now(a->f)};
+    struct cw_run_report r = {.born_wall = w->born,
+                              .clock_ms = fake_now(a->f)};
 
     for (size_t i = 0; i < w->run_count; i++) {
         struct fake_run *run = &w->runs[i];
@@ -165,6 +179,10 @@
     }
     r.running = running;
     r.ended = ended;
+    r.proved = a->flag;
+    if (a->status == CW_OK) {
+        a->conn->reported = w->born;
+    }
     a->u.report(a->arg, a->status, a->status == CW_OK ? &r : NULL);
 }
 
@@ -190,6 +208,7 @@
         link = &(*link)->next;
     }
     *link = a->next;
+    a->worker->calls_open--;
 }
 
 static void
@@ -214,7 +233,7 @@
         answer_owner(a);
         break;
     case START:
-        a->u.start(a->arg, a->status, CW_START_OK);
+        a->u.start(a->arg, a->status, CW_START_OK, 0);
         break;
     case ORDER:
         a->u.order(a->arg, a->status);
@@ -248,6 +267,7 @@
     struct answer *a = new_answer(c->f, kind, arg, ms);
 
     a->worker = c->worker;
+    a->worker->calls_open++;
     a->conn = c;
     a->next = c->open;
     c->open = a;
@@ -541,8 +561,14 @@
     (void)until_ms;
     (void)timeout;
     a->u.report = done;
+    if (c->worker->refuses) {
+        c->worker->refusals++;
+        a->status = CW_ERR_UNAVAILABLE;
+        return;
+    }
     a->status = check_fence(c, epoch);
-    if (a->status == CW_OK && acked > c->worker->acked) {
+    a->flag = c->reported == c->worker->born;
+    if (a->status == CW_OK && a->flag && acked > c->worker->acked) {
         c->worker->acked = acked;
     }
 }
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -25,6 +25,8 @@
     const char *answer;
     size_t connections;
     size_t bytes_received;
+    bool close_after; /* each answer */
+    char last[512];   /* bytes received last */
 } server;
 
 struct peer {
@@ -55,13 +57,16 @@
     uv_buf_t out =
         uv_buf_init((char *)server.answer, (unsigned)strlen(server.answer));
 
-    (void)b;
     if (n <= 0) {
         uv_close((uv_handle_t *)s, on_peer_closed);
         return;
     }
     server.bytes_received += (size_t)n;
+    (void)snprintf(server.last, sizeof(server.last), "%.*s", (int)n, b->base);
     (void)uv_write(&p->write, s, &out, 1, NULL);
+    if (server.close_after) {
+        uv_close((uv_handle_t *)s, on_peer_closed);
+    }
 }
 
 static void
@@ -236,7 +241,7 @@
 static bool
 on_wire(const char *answer)
 {
-    static char text[256];
+    static char text[400];
 
     (void)snprintf(text, sizeof(text), "%s", answer);
     server.answer = text;
@@ -246,6 +251,10 @@
 struct report_outcome {
     int done;
     enum cw_status status;
+    bool proved;
+    bool partial;
+    size_t running;
+    size_t ended;
 };
 
 static void
@@ -253,9 +262,12 @@
 {
     struct report_outcome *o = arg;
 
-    (void)r;
     o->done++;
     o->status = s;
+    o->proved = r != NULL && r->proved;
+    o->partial = r != NULL && r->partial;
+    o->running = r != NULL ? r->running_count : 0;
+    o->ended = r != NULL ? r->ended_count : 0;
 }
 
 /* A worker that answers 503 lives and may run its tasks. Taken for a refused
@@ -296,6 +308,142 @@
     }
 }
 
+static void
+on_stopped(void *arg, enum cw_status s)
+{
+    struct outcome *o = arg;
+
+    o->done++;
+    o->status = s;
+}
+
+/* A worker that restarted under its id took the acknowledgement of its former
+ * incarnation for its own and forgot ends that were never seen, so that their
+ * tasks ran twice; and it took the end of the lease for far ahead on its new
+ * clock. Only a process that has reported on a connection gets them there. */
+static void
+test_acks_reach_one_incarnation(void **state)
+{
+    (void)state;
+#define REPORT                                                                \
+    "HTTP/1.1 200 X\r\nContent-Length: 39\r\n\r\n"                            \
+    "{\"clockMs\":5,\"running\":[],\"ended\":[]}  "
+    static const struct {
+        const char *answer;
+        bool close_after; /* as the process ends */
+        bool order;       /* a stop is sent before the report call */
+        bool proved;      /* the call carries acknowledgement and lease */
+    } cases[] = {
+        {REPORT, false, false, false}, /* the first call */
+        {REPORT, false, false, true},
+        {REPORT, false, true, true}, /* orders use their own connections */
+        {REPORT, true, false, true},
+        {REPORT, false, false, false}, /* after a restart */
+        {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true, false, true},
+        {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false, false, false},
+        {REPORT, false, false, false}, /* no report on it so far */
+        {REPORT, false, false, true},
+    };
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_run_row row = {.job = 7, .run = 1};
+    struct cw_worker_conn *c;
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    c = ports.exec.open(&p, &id, &address);
+    assert_non_null(c);
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct report_outcome o = {0};
+        struct outcome stopped = {0};
+
+        assert_true(on_wire(cases[i].answer));
+        server.close_after = cases[i].close_after;
+        if (cases[i].order) {
+            ports.exec.stop(c, &row, 1, 5000, on_stopped, &stopped);
+            while (stopped.done == 0) {
+                uv_run(&loop, UV_RUN_ONCE);
+            }
+        }
+        ports.exec.poll(c, 486000, 1, 57, 0, 5000, on_report, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        for (int k = 0; k < 20; k++) {
+            (void)uv_run(&loop, UV_RUN_NOWAIT);
+        }
+        assert_int_equal(strstr(server.last, "\"ackedThrough\":57") != NULL,
+                         cases[i].proved);
+        assert_int_equal(strstr(server.last, "\"untilMs\":486000") != NULL,
+                         cases[i].proved);
+        assert_int_equal(o.proved, cases[i].proved && o.status == CW_OK);
+    }
+    ports.exec.close(c);
+}
+
+/* Rows that can't be read were left out of the report, so that their runs
+ * looked as if they had ended, and started again. */
+static void
+test_unreadable_rows(void **state)
+{
+    (void)state;
+#define TASK "\"00000000000000a1.0.0.1\""
+    static const struct {
+        const char *running;
+        const char *ended;
+        bool partial;
+        size_t running_count;
+        size_t ended_count;
+    } cases[] = {
+        {"[" TASK ",1,\"\",40]", "[1," TASK ",1,\"done\",\"\"]", false, 1, 1},
+        {"[" TASK ",1,\"\",40],[\"x\",1,\"\",40]", "", true, 1, 0},
+        {"[7,1,\"\",40],[" TASK ",1,\"\",40]", "", true, 1, 0},
+        {"[" TASK ",\"1\",\"\",40]", "", true, 0, 0},
+        {"{}", "", true, 0, 0},
+        {"", "[1,\"\",1,\"done\",\"\"],[2," TASK ",1,\"done\",\"\"]", true, 0,
+         1},
+        {"", "[\"1\"," TASK ",1,\"done\",\"\"]", true, 0, 0},
+        {"", "[1," TASK ",1,\"vanished\",\"\"]", false, 0, 1}, /* an end */
+        {"", "3", true, 0, 0},
+    };
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_worker_conn *c;
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    c = ports.exec.open(&p, &id, &address);
+    assert_non_null(c);
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct report_outcome o = {0};
+        char body[256];
+        char answer[400];
+        int n = snprintf(body, sizeof(body),
+                         "{\"clockMs\":5,\"running\":[%s],\"ended\":[%s]}",
+                         cases[i].running, cases[i].ended);
+
+        (void)snprintf(answer, sizeof(answer),
+                       "HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s", n,
+                       body);
+        assert_true(on_wire(answer));
+        ports.exec.poll(c, 0, 1, 0, 0, 5000, on_report, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        assert_int_equal(o.status, CW_OK);
+        assert_int_equal(o.partial, cases[i].partial);
+        assert_int_equal(o.running, cases[i].running_count);
+        assert_int_equal(o.ended, cases[i].ended_count);
+    }
+    ports.exec.close(c);
+}
+
 int
 main(void)
 {
@@ -305,6 +453,9 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_unwell_worker_is_not_gone, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_acks_reach_one_incarnation, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_unreadable_rows, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -327,6 +327,102 @@
     assert_int_equal(fake.double_starts, 0);
 }
 
+/* All ends are acknowledged, and no call to a worker is open. */
+static bool
+workers_idle(void *arg)
+{
+    (void)arg;
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        const struct fake_worker *w = &fake.workers[i];
+
+        if (w->acked + 1 != w->next_end || w->calls_open > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A worker that restarted while it was idle was noticed by its first report
+ * with a run; the scheduler then gave up the runs that it had just started
+ * there, and started them twice. The same followed when the former
+ * incarnation's ends were acknowledged to the new one, which then did not list
+ * its own. */
+static void
+test_restarted_worker(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *path;
+        uint64_t starts; /* in total */
+    } cases[] = {{"/j/00000000000000b1", 3},
+                 {"/j/00000000000000b2", 6},
+                 {"/j/00000000000000b3", 9}};
+    size_t who = 0;
+
+    assert_true(run_until(has_scheduler, &who));
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct state_query q = {who, cases[i].path, "succeeded"};
+
+        assert_true(run_until(workers_idle, NULL));
+        for (size_t k = 0; k < fake.worker_count; k++) {
+            fake_restart_worker(&fake.workers[k]);
+        }
+        assert_int_equal(call(who, "POST", q.path, JOB).code, 200);
+        assert_true(run_until(has_state, &q));
+        assert_int_equal(fake.double_starts, 0);
+        assert_int_equal(fake.starts, cases[i].starts);
+    }
+}
+
+static bool
+tasks_run(void *arg)
+{
+    struct cw_job_entry *j = *(struct cw_job_entry **)arg;
+
+    for (size_t i = 0; i < j->task_count; i++) {
+        if (j->tasks[i].state != CW_RUN_RUNNING) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Three report calls were refused, or a task's run was given up. */
+static bool
+was_refused(void *arg)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        n += fake.workers[i].refusals;
+    }
+    return n >= 3 || !tasks_run(arg);
+}
+
+/* A cut that resets or refuses connections ended the runs of a worker whose
+ * entry had left the list, in the scheduler's view: they were started again
+ * while the worker ran on under its lease. */
+static void
+test_refused_connection(void **state)
+{
+    (void)state;
+    size_t who = 0;
+    struct cw_job_entry *j;
+
+    assert_true(run_until(has_scheduler, &who));
+    fake.task_ms = 60000;
+    assert_int_equal(call(who, "POST", "/j/00000000000000c1", JOB).code, 200);
+    j = cw_sched_find_job(daemons[who].sched, 0xc1);
+    assert_true(run_until(tasks_run, &j));
+    for (size_t i = 0; i < fake.worker_count; i++) {
+        fake.workers[i].refuses = true;
+        cw_sched_worker_gone(daemons[who].sched,
+                             cw_str_from(fake.workers[i].id), 1);
+    }
+    assert_true(run_until(was_refused, &j));
+    assert_true(tasks_run(&j));
+}
+
 /* While the store is unavailable, the outcome of a submission that is in a
  * batch is unknown, also for its repeats: to tell the caller "not run" would
  * be false, as the batch may be stored yet. Others are refused at once, and a
@@ -508,6 +604,10 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_lost_append_answer, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_refused_connection, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_store_unavailable, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_handover, setup, teardown),
