Jobs: an epoch is a scheduler's own once its claim is read back

Callers saw accepted jobs answered 410 for good after the next takeover; ends and cancels that were acknowledged could be lost the same way.

Cause: a daemon whose process starts again within its membership took over under the epoch of the process before it, as the number of attempts in the generation is kept in memory only. The store does not refuse an equal epoch, and answered the first appends of the new process as repeats of the last five of the old one: 200, and nothing stored. Workers got the old fence again, too.

Change: the first append under an epoch is now a record with the epoch, the group's generation, the daemon and a nonce, in place of the append without records. The takeover goes on only if the newest records that it reads next hold this very record. Otherwise the epoch has been used: one above it, and above the one in the record, is claimed at once, at most 8 times in a takeover (epoch_in_use). A claim of a later generation, or another daemon's in the same one, ends the takeover instead (epoch_superseded): the group decides. A claim without an answer is repeated with the same bytes and number. Streams of earlier versions have no such record and load as before.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -8,6 +8,7 @@
 #define CW_JOBD_H
 
 #include "cuminwalk.h"
+#include "cw_claim.h"
 #include "cw_http_server.h"
 #include "cw_job_ports.h"
 #include "cw_peer_net.h"
@@ -141,7 +142,12 @@
     /* Scheduling. */
     enum cw_jobd_role role;
     uint64_t epoch;
-    uint64_t takeover_attempts; /* in takeover_generation */
+    uint64_t next_epoch;         /* above those used, or seen in use */
+    struct cw_claim claim;       /* of epoch */
+    enum cw_status claim_status; /* answer to its append */
+    bool claim_held;             /* read back */
+    uint32_t claims_left;        /* in this takeover */
+    uint64_t takeover_attempts;  /* in takeover_generation */
     uint64_t takeover_generation;
     uint64_t sequence;
     cw_ms role_since;
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -30,6 +30,8 @@
 #define STORE_TIMEOUT_MS 900
 /* Epochs reserved for the takeovers in one generation of the group. */
 #define EPOCHS_PER_GENERATION 1000
+/* Appends of claims in one takeover. */
+#define CLAIMS_MAX 8
 /* Delay before the next join after a failed takeover. */
 #define TAKEOVER_RETRY_MS 200
 
@@ -37,6 +39,8 @@
 #define MEMBER_TRY_MS 300
 
 static void load_jobs_page(struct cw_jobd *d);
+static void claim_epoch(struct cw_jobd *d);
+static void send_claim(struct cw_jobd *d);
 
 bool
 cw_member_lease_valid(const struct cw_jobd *d, cw_ms now)
@@ -110,10 +114,73 @@
     cw_commit_schedule(d);
 }
 
+static void
+init_sched(struct cw_jobd *d)
+{
+    struct cw_sched_limits limits = {
+        .status_ms = d->settings.status_ms,
+        .lease_ms = d->settings.lease_ms,
+    };
+
+    cw_sched_init(d->sched, &limits, &cw_agent_ops, d);
+    d->sched->wall_offset = d->clock.wall(d->clock.ctx) - cw_jobd_now(d);
+}
+
+static const struct cw_store_record *
+find_claim(const struct cw_store_page *p)
+{
+    for (size_t i = 0; i < p->count; i++) {
+        if (cw_str_eq(p->records[i].key, CW_LIT(CW_CLAIM_KEY))) {
+            return &p->records[i];
+        }
+    }
+    return NULL;
+}
+
+/* Checks whether the claim that the store holds (NULL: none) is ours. When it
+ * isn't, a higher epoch is claimed, or the takeover has failed. */
+static bool
+check_claim(struct cw_jobd *d, const struct cw_store_record *r)
+{
+    struct cw_claim stored = {0};
+    bool found = r != NULL && cw_claim_decode(&stored, r->value) == CW_OK;
+    enum cw_claim_result res = cw_claim_check(
+        &d->claim, found ? &stored : NULL, d->claim_status == CW_OK);
+
+    if (res == CW_CLAIM_HELD) {
+        d->claim_held = true;
+        return true;
+    }
+    cw_log(CW_WARN,
+           res == CW_CLAIM_REPLACED ? "epoch_superseded" : "epoch_in_use",
+           "epoch=%llu append=%s used_by=%s used_epoch=%llu "
+           "used_generation=%llu",
+           (unsigned long long)d->epoch, cw_status_name(d->claim_status),
+           found ? stored.daemon.text : "-", (unsigned long long)stored.epoch,
+           (unsigned long long)stored.generation);
+    if (res == CW_CLAIM_REPLACED) {
+        takeover_failed(d, "claim", CW_ERR_FENCED);
+        return false;
+    }
+    if (found && stored.epoch >= d->next_epoch) {
+        d->next_epoch = stored.epoch + 1;
+    }
+    if (d->claims_left == 0) {
+        takeover_failed(d, "claim", CW_ERR_CONFLICT);
+        return false;
+    }
+    cw_sched_finish(d->sched);
+    init_sched(d);
+    claim_epoch(d);
+    return false;
+}
+
 static void
 on_jobs_page(void *arg, enum cw_status s, const struct cw_store_page *p)
 {
     struct cw_jobd *d = cw_term_ctx_release(arg);
+    const struct cw_store_record *claim;
+    bool more;
     cw_ms now;
 
     if (d == NULL || d->role != CW_ROLE_TAKEOVER) {
@@ -123,6 +190,11 @@
         takeover_failed(d, "jobs", s);
         return;
     }
+    more = p->more && p->count > 0;
+    claim = find_claim(p);
+    if (!d->claim_held && (claim != NULL || !more) && !check_claim(d, claim)) {
+        return;
+    }
     now = cw_jobd_now(d);
     for (size_t i = 0; i < p->count; i++) {
         enum cw_status st = cw_sched_load(d->sched, p->records[i].key,
@@ -135,7 +207,7 @@
         }
         (void)cw_name_set(&d->load_after_key, p->records[i].key);
     }
-    if (p->more && p->count > 0) {
+    if (more) {
         load_jobs_page(d);
         return;
     }
@@ -151,32 +223,75 @@
 }
 
 static void
-on_epoch_set(void *arg, enum cw_status s)
+on_claim_answer(void *arg, enum cw_status s)
 {
     struct cw_jobd *d = cw_term_ctx_release(arg);
 
     if (d == NULL || d->role != CW_ROLE_TAKEOVER) {
         return;
     }
-    if (s != CW_OK) {
-        /* Fenced: an earlier process of this daemon used a higher epoch in
-         * this generation; the next attempt increments the epoch. */
+    if (s == CW_ERR_UNKNOWN && d->claims_left > 0) {
+        send_claim(d); /* the same bytes and number: stored once at most */
+        return;
+    }
+    if (s != CW_OK && s != CW_ERR_FENCED && s != CW_ERR_CONFLICT) {
         takeover_failed(d, "fence", s);
         return;
     }
+    d->claim_status = s;
+    d->claim_held = false;
     d->load_after_key.len = 0;
     load_jobs_page(d);
 }
 
 static void
-start_takeover(struct cw_jobd *d, cw_ms now)
+send_claim(struct cw_jobd *d)
 {
-    static const struct cw_store_batch empty;
-    struct cw_sched_limits limits = {
-        .status_ms = d->settings.status_ms,
-        .lease_ms = d->settings.lease_ms,
-    };
+    d->claims_left--;
+    d->ports.store.append(d->ports.ctx, &d->batch, d->epoch, d->sequence,
+                          STORE_TIMEOUT_MS, on_claim_answer,
+                          cw_term_ctx_new(d));
+}
+
+static uint64_t
+new_nonce(struct cw_jobd *d)
+{
+    uint64_t n = cw_hash_mix(cw_rng_next(&d->rng), uv_hrtime());
+
+    return cw_hash_mix(n, (uint64_t)uv_os_getpid());
+}
+
+/* Claims an epoch that this process has neither used nor seen in use. */
+static void
+claim_epoch(struct cw_jobd *d)
+{
+    uint64_t first = d->generation * EPOCHS_PER_GENERATION;
+    struct cw_buf value;
+
+    d->epoch = d->next_epoch > first ? d->next_epoch : first;
+    d->next_epoch = d->epoch + 1;
+    d->takeover_attempts++;
+    d->sequence = 1;
+    d->claim = (struct cw_claim){d->epoch, d->generation, new_nonce(d),
+                                 d->settings.daemon};
+    cw_buf_init(&value);
+    cw_claim_encode(&d->claim, &value);
+    cw_buf_clear(&d->batch.bytes);
+    d->batch.count = 0;
+    d->ports.store.batch_add(d->ports.ctx, &d->batch, CW_LIT(CW_CLAIM_KEY),
+                             cw_buf_str(&value));
+    CW_INVARIANT(!value.failed && !d->batch.bytes.failed);
+    cw_buf_finish(&value);
+    cw_log(CW_INFO, "takeover",
+           "epoch=%llu generation=%llu attempt=%llu former=%s",
+           (unsigned long long)d->epoch, (unsigned long long)d->generation,
+           (unsigned long long)d->takeover_attempts, d->scheduler.text);
+    send_claim(d);
+}
 
+static void
+start_takeover(struct cw_jobd *d, cw_ms now)
+{
     d->sched = calloc(1, sizeof(*d->sched));
     if (d->sched == NULL) {
         return;
@@ -188,19 +303,9 @@
         d->takeover_generation = d->generation;
         d->takeover_attempts = 0;
     }
-    /* A daemon may take over more than once in a generation, also after a
-     * restart that the group did not notice. */
-    d->epoch = d->generation * EPOCHS_PER_GENERATION + d->takeover_attempts;
-    d->takeover_attempts++;
-    d->sequence = 0;
-    cw_sched_init(d->sched, &limits, &cw_agent_ops, d);
-    d->sched->wall_offset = d->clock.wall(d->clock.ctx) - now;
-    cw_log(CW_INFO, "takeover",
-           "epoch=%llu generation=%llu attempt=%llu former=%s",
-           (unsigned long long)d->epoch, (unsigned long long)d->generation,
-           (unsigned long long)d->takeover_attempts, d->scheduler.text);
-    d->ports.store.append(d->ports.ctx, &empty, d->epoch, d->sequence,
-                          STORE_TIMEOUT_MS, on_epoch_set, cw_term_ctx_new(d));
+    init_sched(d);
+    d->claims_left = CLAIMS_MAX;
+    claim_epoch(d);
 }
 
 /* ---- membership ---- */
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -440,7 +440,7 @@
                                     struct cw_str value),
                         void *arg);
 /* Loads a record that a previous scheduler wrote. A job's spec must be loaded
- * before its progress. */
+ * before its progress. A claim is accepted and changes nothing. */
 enum cw_status cw_sched_load(struct cw_sched *s, struct cw_str key,
                              struct cw_str value, cw_ms now);
 /* Call after the last record. The runs of recorded starts count as alive until
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -1,4 +1,5 @@
 /* Encodes and loads the records of jobs in the store, in protobuf. */
+#include "cw_claim.h"
 #include "cw_jobs_int.h"
 
 #include "cw_wire.pb-c.h"
@@ -361,7 +362,8 @@
     Cuminwalk__JobProgress *m;
     enum cw_status st;
 
-    if (value.len > 0 && cw_kv_load(s, key, value) == CW_OK) {
+    if (cw_str_eq(key, CW_LIT(CW_CLAIM_KEY)) ||
+        (value.len > 0 && cw_kv_load(s, key, value) == CW_OK)) {
         return CW_OK;
     }
     if (key.len != CW_JOB_KEY_LEN || value.len == 0) {
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -1,5 +1,7 @@
 #include "jobs_fake.h"
 
+#include "cw_claim.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,8 +23,8 @@
     enum cw_status status;
     enum cw_stream stream;
     uint64_t number;
-    bool flag; /* JOIN: the member is the owner; PAGE: with records */
-    char name[64];
+    bool flag;     /* JOIN: the member is the owner; PAGE: with records */
+    char name[64]; /* OWNER: its name; PAGE: the last key before it */
     struct fake_worker *worker;
     struct cw_worker_conn *conn; /* of a call to a worker */
     struct answer *next;         /* in the connection's list */
@@ -130,13 +132,18 @@
     struct cw_store_page page = {.records = rows, .next = a->number};
 
     for (size_t i = 0; a->flag && i < f->record_count; i++) {
-        if (f->records[i].stream == a->stream && f->records[i].len > 0) {
+        if (f->records[i].stream == a->stream && f->records[i].len > 0 &&
+            strcmp(f->records[i].key, a->name) > 0) {
             rows[page.count++] = (struct cw_store_record){
                 cw_str_from(f->records[i].key),
                 {f->records[i].value, f->records[i].len}};
         }
     }
     qsort(rows, page.count, sizeof(rows[0]), key_cmp);
+    if (f->page_records > 0 && page.count > f->page_records) {
+        page.count = f->page_records;
+        page.more = true;
+    }
     a->u.page(a->arg, a->status, &page);
 }
 
@@ -295,37 +302,63 @@
     }
 }
 
+/* Repeats of this many last appends get their first answer again. */
+#define REPEATS_KNOWN 5
+
+/* Checks the epoch and the sequence number as the store does. An append
+ * without records sets the epoch and uses no number. */
+static enum cw_status
+accept_append(struct fake_platform *f, const struct cw_store_batch *b,
+              uint64_t epoch, uint64_t sequence, bool *repeat)
+{
+    uint64_t known =
+        f->epoch_appends < REPEATS_KNOWN ? f->epoch_appends : REPEATS_KNOWN;
+
+    *repeat = false;
+    if (epoch < f->epoch) {
+        return CW_ERR_FENCED;
+    }
+    if (epoch > f->epoch) {
+        f->epoch = epoch;
+        f->epoch_appends = 0;
+        return CW_OK;
+    }
+    if (b->count == 0 || f->epoch_appends == 0 ||
+        sequence == f->sequence + 1) {
+        return CW_OK;
+    }
+    *repeat = sequence <= f->sequence && f->sequence - sequence < known;
+    return *repeat ? CW_OK : CW_ERR_CONFLICT;
+}
+
 static void
 append(void *ctx, const struct cw_store_batch *b, uint64_t epoch,
        uint64_t sequence, cw_ms timeout, cw_store_done done, void *arg)
 {
     struct fake_platform *f = ctx;
     struct answer *a = store_answer(f, DONE, arg);
+    bool repeat;
 
     (void)timeout;
     a->u.done = done;
     if (f->store_down) {
         return;
     }
-    if (epoch < f->epoch) {
-        a->status = CW_ERR_FENCED;
-        return;
-    }
-    if (epoch > f->epoch) {
-        f->epoch = epoch;
-        f->sequence = sequence;
-    }
-    else if (sequence == f->sequence) {
-        return; /* a repeat is answered like the first call */
-    }
-    else if (sequence != f->sequence + 1) {
-        a->status = CW_ERR_CONFLICT;
+    a->status = accept_append(f, b, epoch, sequence, &repeat);
+    if (a->status != CW_OK || repeat || b->count == 0) {
         return;
     }
     f->sequence = sequence;
+    f->epoch_appends++;
     f->appends++;
     apply_batch(f, CW_STREAM_JOBS, b);
-    if (f->lose_answers > 0 && b->count > 0) {
+    if (f->rival_epoch > 0) {
+        f->epoch = f->rival_epoch;
+        f->epoch_appends = 0;
+        f->rival_epoch = 0;
+        fake_put(f, CW_STREAM_JOBS, CW_CLAIM_KEY, f->rival_claim);
+    }
+    if (f->lose_answers > 0) {
         f->lose_answers--;
         a->status = CW_ERR_UNKNOWN;
     }
@@ -350,8 +383,8 @@
 {
     struct answer *a = store_answer(ctx, PAGE, arg);
 
-    (void)after;
     (void)timeout;
+    (void)snprintf(a->name, sizeof(a->name), "%.*s", CW_FMT(after));
     a->u.page = done;
     a->stream = stream;
     a->flag = true;
--- a/tests/jobs_fake.h
+++ b/tests/jobs_fake.h
@@ -47,7 +47,8 @@
     } records[FAKE_RECORDS_MAX];
     size_t record_count;
     uint64_t epoch;
-    uint64_t sequence;
+    uint64_t sequence;      /* of the last append with records */
+    uint64_t epoch_appends; /* appends with records in the epoch */
     struct {
         char name[64];
         cw_ms until;
@@ -56,13 +57,18 @@
     uint64_t generation;
     struct fake_worker workers[FAKE_WORKERS_MAX];
     size_t worker_count;
-    cw_ms task_ms; /* each task takes this long */
+    cw_ms task_ms;       /* each task takes this long */
+    size_t page_records; /* newest records in a page; 0: all */
     struct fake_vm vms[FAKE_VMS_MAX];
     size_t vm_count; /* 0: no VM control */
     /* Faults to inject. */
     bool store_down;       /* calls to the store get no answer */
     uint32_t lose_answers; /* this many appends take effect without answer */
     bool lose_orders;      /* VM orders get no answer, as if delayed */
+    /* After the next append another scheduler claims this epoch (0: none),
+     * with this claim record. */
+    uint64_t rival_epoch;
+    const char *rival_claim;
     /* Observations. */
     uint64_t appends;
     uint64_t starts;
--- a/tests/test_decoders.c
+++ b/tests/test_decoders.c
@@ -96,6 +96,14 @@
     (void)ports.worker_decode(CW_LIT("i-1"), in, &e, msg);
 }
 
+static void
+decode_claim(struct cw_str in)
+{
+    struct cw_claim c;
+
+    (void)cw_claim_decode(&c, in);
+}
+
 static void
 decode_submission(struct cw_str in)
 {
@@ -191,6 +199,7 @@
          "\"zone\":\"z\",\"machine\":\"m-1\",\"born\":1764864000000,"
          "\"labels\":[\"a\",\"r1-3\"],\"capacity\":{\"cpu\":16000,"
          "\"memMb\":32768}}"},
+        {decode_claim, "4000 4 18446744073709551615 front-1"},
         {decode_submission,
          "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":"
          "256,"
