Jobs: a run that ends done after its job's cancel doesn't end the scheduler

Evidence: test_done_after_cancel failed before with "Segmentation fault(11)". No test had a run that ends done after its job was cancelled.

Change: the pool is planned only while the job has one, as cw_task_requeue does.

--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -53,8 +53,10 @@
         return;
     }
     cw_task_set_state(t, CW_RUN_DONE);
-    cw_pool_plan_soon(s, j->pool);
     t->state_since = now;
+    if (j->pool != NULL) { /* NULL: the job has ended */
+        cw_pool_plan_soon(s, j->pool);
+    }
     j->tasks_left[t->occurrence * j->spec.step_count + t->step]--;
     if (j->tasks_left[t->occurrence * j->spec.step_count + t->step] == 0) {
         mark_successors_ready(t, now);
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -469,6 +469,33 @@
     }
 }
 
+/* A run of a cancelled job ended done before its stop arrived: its job is in
+ * no pool any more, and planning that pool ended the scheduler. */
+static void
+test_done_after_cancel(void **state)
+{
+    (void)state;
+
+    for (int gang = 0; gang < 2; gang++) {
+        struct cw_job_spec s = jobs_spec(7, 2, 1000);
+        struct cw_worker *w = jobs_add_worker(&f, "w1", "v1", 4000);
+        struct cw_job_entry *j;
+
+        s.steps[0].gang = gang == 1;
+        j = jobs_accept(&f, &s);
+        jobs_commit(&f);
+        jobs_answer_starts(&f, 0);
+        assert_int_equal(cw_sched_cancel(&f.s, 7, f.now), CW_OK);
+        f.now += 10;
+        jobs_report_end(&f, w, 1, cw_task_row(&j->tasks[0]), CW_END_DONE);
+        jobs_commit(&f);
+        assert_int_equal(j->state, CW_JOB_CANCELLED);
+        assert_int_equal(w->task_count, gang == 1 ? 0 : 1);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
 /* A report with rows that can't be read is no full list: its other rows count,
  * but no run is over as it is not listed, and no end is acknowledged, as one
  * that can't be read would be forgotten with it. */
@@ -549,6 +576,8 @@
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_late_done, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_done_after_cancel, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_partial_report, setup, teardown),
         cmocka_unit_test_setup_teardown(test_end_on_a_moved_worker, setup,
                                         teardown),
