--- /dev/null
+++ b/packages/jobd/agents_int.h
@@ -0,0 +1,53 @@
+/* One agent for each worker, shared by the agents*.c files. */
+#ifndef CW_AGENTS_INT_H
+#define CW_AGENTS_INT_H
+
+#include "cw_jobd.h"
+
+/* No further starts are sent to a worker for this time after it failed to
+ * answer one. */
+#define UNANSWERED_PAUSE_MS 800
+
+enum order_kind { ORDER_START, ORDER_STOP, ORDER_PACE };
+
+struct order {
+    struct order *next;
+    struct cw_agent *agent;
+    enum order_kind kind;
+    struct cw_run_row row;
+    uint32_t percent;
+    uint32_t tries;
+    bool unanswered; /* was sent without an answer: may have arrived */
+    cw_ms due;
+};
+
+struct cw_agent {
+    struct cw_agent *prev;
+    struct cw_agent *next;
+    struct cw_jobd *d;
+    struct cw_worker *worker;
+    struct cw_worker_conn *conn;
+    struct order *orders;
+    uint32_t in_flight;
+    bool closing;
+    bool reporting;
+    cw_ms report_sent;
+    cw_ms next_report_at; /* not before; later while the loop lags behind */
+    cw_ms report_due;
+    uint64_t report_acked; /* acknowledgement in the open report call */
+    uint64_t acked_sent;   /* acknowledgement that the worker received */
+    uint32_t failures;     /* failed report calls in a row */
+};
+
+/* Returns the worker's agent, created when it has none; NULL when the worker
+ * cannot be reached. */
+struct cw_agent *cw_agent_get(struct cw_jobd *d, struct cw_worker *w);
+void cw_agent_commit_changes(struct cw_jobd *d);
+/* Asks the worker for a report when one is due. */
+void cw_agent_report_if_due(struct cw_agent *a, cw_ms now);
+
+/* ---- agents_orders.c ---- */
+
+void cw_agent_send_orders(struct cw_agent *a, cw_ms now);
+
+#endif
