Scheduler: order and renew leases only with a valid membership

What callers saw: two runs of one task (TWICE) after a scheduler was cut off from the store: it went on renewing the lease of a run that its successor had counted as lapsed and started again on another worker.

Cause: starts, stops, paces and renewals were sent as long as the daemon was in the role, also after its membership of the group had expired, while the successor counted on renewals for 1.5 s at most (PREVIOUS_SCHEDULER_MS).

Change: orders, also repeated ones, stay queued until the membership is valid by a fresh reading of the clock. Leases are renewed until 1 s after the membership (CW_RENEWAL_GRACE_MS), so that tasks survive an outage of some seconds; the last renewal goes out shortly before that, and reports are fetched without renewals afterwards, since one may show a newer fence. A queued pace is replaced by a newer one of the same run. A new scheduler is told in its limits how long the former one may renew: the membership and the grace, 2 s, because the role can be assigned anew just after the former membership was renewed. cuminwalk_unproved_total gives way to cuminwalk_withheld_total, which counts what waits.

Lasting tasks whose scheduler and worker are lost together: takeover at most 1.6 s after the loss and 0.13 s to load, then 4,500 / 0.98 + 250 + 2,000 = 6,841 ms, then a commit: 8.6 s after the last run.

--- a/bench/sched_world.c
+++ b/bench/sched_world.c
@@ -467,8 +467,8 @@
 begin_scheduling(struct sched_world *w)
 {
     struct cw_jobd *d = &w->d;
-    struct cw_sched_limits limits = {d->settings.status_ms,
-                                     d->settings.lease_ms};
+    struct cw_sched_limits limits = {.status_ms = d->settings.status_ms,
+                                     .lease_ms = d->settings.lease_ms};
 
     d->role = CW_ROLE_TAKEOVER; /* until the work is loaded */
     d->term++;
--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -8,6 +8,11 @@
 #define REPORT_WAIT_MS 1000
 #define REPORT_MARGIN_MS 600
 #define REPORT_RETRY_MS 250
+/* The last renewal before renewals end is sent this long before it. */
+#define LAST_RENEWAL_MS 100
+/* Long-poll time of a report without a renewal, so that renewals resume soon
+ * after the membership. */
+#define UNRENEWED_WAIT_MS 250
 /* After a run has ended, the next report carries its acknowledgement and so
  * waits for the commit, but no longer than this. */
 #define ACK_WAIT_MS 200
@@ -131,23 +136,37 @@
     return !w->contacted || w->tasks != NULL || w->acked > a->acked_sent;
 }
 
+/* The long-poll time, with which the last renewal goes out shortly before
+ * renewals end. */
+static cw_ms
+report_wait(cw_ms renewals_left)
+{
+    cw_ms wait = renewals_left - LAST_RENEWAL_MS;
+
+    if (wait <= 0) {
+        return UNRENEWED_WAIT_MS;
+    }
+    return wait < REPORT_WAIT_MS ? wait : REPORT_WAIT_MS;
+}
+
 static void
 send_report(struct cw_agent *a, cw_ms now)
 {
     struct cw_jobd *d = a->d;
     struct cw_worker *w = a->worker;
-    cw_ms wait = w->contacted && w->tasks != NULL ? REPORT_WAIT_MS : 0;
-    int64_t until =
-        w->tasks == NULL
-            ? 0
-            : cw_worker_lease_until(d->sched, w, a->failures == 0, now);
+    cw_ms renewals = cw_member_renewals_left(d, cw_jobd_now(d));
+    cw_ms wait = w->contacted && w->tasks != NULL ? report_wait(renewals) : 0;
+    int64_t until = 0;
 
+    if (w->tasks != NULL && renewals > 0) {
+        until = cw_worker_lease_until(d->sched, w, a->failures == 0, now);
+    }
+    else if (w->tasks != NULL) {
+        cw_jobd_count(d, "cuminwalk_withheld_total", "renewal");
+    }
     a->reporting = true;
     a->report_sent = now;
     a->report_acked = w->acked;
-    if (until > 0) {
-        cw_member_count_unproved(d, "renewal");
-    }
     d->ports.exec.poll(a->conn, until, d->epoch, w->acked, wait,
                        wait + REPORT_MARGIN_MS, on_report, a);
 }
--- a/packages/jobd/agents_int.h
+++ b/packages/jobd/agents_int.h
@@ -18,6 +18,7 @@
     uint32_t percent;
     uint32_t tries;
     bool unanswered; /* was sent without an answer: may have arrived */
+    bool withheld;   /* waits for a valid membership; counted */
     cw_ms due;
 };
 
@@ -48,6 +49,7 @@
 
 /* ---- agents_orders.c ---- */
 
+/* Sends the orders that are due; without a valid membership they wait. */
 void cw_agent_send_orders(struct cw_agent *a, cw_ms now);
 
 #endif
--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -181,7 +181,6 @@
     };
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
-    cw_member_count_unproved(d, "start");
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
 }
 
@@ -212,9 +211,23 @@
     }
 }
 
+static void
+count_withheld(const struct cw_agent *a)
+{
+    static const char *const names[] = {"start", "stop", "pace"};
+
+    for (struct order *o = a->orders; o != NULL; o = o->next) {
+        if (!o->withheld) {
+            o->withheld = true;
+            cw_jobd_count(a->d, "cuminwalk_withheld_total", names[o->kind]);
+        }
+    }
+}
+
 void
 cw_agent_send_orders(struct cw_agent *a, cw_ms now)
 {
+    struct cw_jobd *d = a->d;
     struct order **link = &a->orders;
 
     while (*link != NULL && a->in_flight < ORDERS_IN_FLIGHT_MAX) {
@@ -224,11 +237,29 @@
             link = &o->next;
             continue;
         }
+        if (!cw_member_lease_valid(d, cw_jobd_now(d))) {
+            count_withheld(a);
+            return;
+        }
         *link = o->next;
         send_order(a, o, now);
     }
 }
 
+/* The order of this kind for a run that waits to be sent, or NULL. */
+static struct order *
+find_order(const struct cw_agent *a, enum order_kind kind,
+           const struct cw_run_row *r)
+{
+    struct order *o = a->orders;
+
+    while (o != NULL && (o->kind != kind || o->row.run != r->run ||
+                         !cw_run_same_task(&o->row, r))) {
+        o = o->next;
+    }
+    return o;
+}
+
 static void
 queue_start(void *ctx, struct cw_task *t)
 {
@@ -259,11 +290,8 @@
     if (a == NULL) {
         return;
     }
-    for (const struct order *o = a->orders; o != NULL; o = o->next) {
-        if (o->kind == ORDER_STOP && cw_run_same_task(&o->row, r) &&
-            o->row.run == r->run) {
-            return;
-        }
+    if (find_order(a, ORDER_STOP, r) != NULL) {
+        return;
     }
     cw_log(CW_INFO, "stop", "job=%016llx task=%u.%u.%u run=%u worker=%s",
            (unsigned long long)r->job, r->occurrence, r->step, r->index,
@@ -278,6 +306,7 @@
     struct cw_jobd *d = ctx;
     struct cw_run_row row = cw_task_row(t);
     struct cw_agent *a = cw_agent_get(d, t->worker);
+    struct order *o;
 
     if (a == NULL) {
         return;
@@ -286,7 +315,9 @@
            "job=%016llx task=%u.%u.%u run=%u worker=%s percent=%u",
            (unsigned long long)row.job, row.occurrence, row.step, row.index,
            row.run, t->worker->id.text, percent);
-    new_order(a, ORDER_PACE, &row)->percent = percent;
+    o = find_order(a, ORDER_PACE, &row);
+    o = o != NULL ? o : new_order(a, ORDER_PACE, &row);
+    o->percent = percent;
     cw_agent_send_orders(a, cw_jobd_now(d));
 }
 
--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -142,7 +142,6 @@
     struct cw_job_entry *j = cw_sched_find_job(d->sched, c->id);
 
     if (j == NULL) {
-        cw_member_count_unproved(d, "gone");
         cw_calls_complete(c, CW_RESULT_GONE, "no_job", 0);
         return;
     }
@@ -176,7 +175,6 @@
     case CW_CALL_STATUS:
         j = cw_sched_find_job(d->sched, c->id);
         if (j == NULL) {
-            cw_member_count_unproved(d, "gone");
             cw_calls_complete(c, CW_RESULT_GONE, "no_job", 0);
             break;
         }
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -78,6 +78,10 @@
     void *arg;
 };
 
+/* Leases are renewed until this long after the membership: the store may be
+ * down for all for some seconds. The next scheduler counts on it. */
+#define CW_RENEWAL_GRACE_MS 1000
+
 /* ---- the daemon ---- */
 
 #define CW_MEMBERS_MAX 8 /* members of the group that a daemon remembers */
@@ -261,10 +265,11 @@
 /* Ends the scheduler role of this daemon. */
 void cw_member_step_down(struct cw_jobd *d, const char *why);
 /* This daemon is the scheduler and its membership cannot have expired, so that
- * it may send orders that the store does not fence. */
+ * it may send orders and answer from its table. */
 bool cw_member_lease_valid(const struct cw_jobd *d, cw_ms now);
-/* Counts an order or answer that is sent while this is false. */
-void cw_member_count_unproved(struct cw_jobd *d, const char *kind);
+/* Time for which this daemon may still renew leases without a renewal of its
+ * membership; 0: it may not. */
+cw_ms cw_member_renewals_left(const struct cw_jobd *d, cw_ms now);
 
 /* ---- commit.c ---- */
 
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -44,12 +44,12 @@
     return d->role == CW_ROLE_SCHEDULER && now < d->member_valid_until;
 }
 
-void
-cw_member_count_unproved(struct cw_jobd *d, const char *kind)
+cw_ms
+cw_member_renewals_left(const struct cw_jobd *d, cw_ms now)
 {
-    if (!cw_member_lease_valid(d, cw_jobd_now(d))) {
-        cw_jobd_count(d, "cuminwalk_unproved_total", kind);
-    }
+    cw_ms left = d->member_valid_until - now + CW_RENEWAL_GRACE_MS;
+
+    return d->role == CW_ROLE_SCHEDULER && left > 0 ? left : 0;
 }
 
 void
@@ -175,6 +175,7 @@
     struct cw_sched_limits limits = {
         .status_ms = d->settings.status_ms,
         .lease_ms = d->settings.lease_ms,
+        .renewals_ms = d->settings.member_ttl_ms + CW_RENEWAL_GRACE_MS,
     };
 
     d->sched = calloc(1, sizeof(*d->sched));
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -335,6 +335,9 @@
 struct cw_sched_limits {
     cw_ms status_ms; /* how long ended jobs are kept */
     cw_ms lease_ms;  /* length of a worker's lease */
+    /* A previous scheduler may renew leases for this long after the role was
+     * assigned to this one. */
+    cw_ms renewals_ms;
 };
 
 /* A key-value pair in the scheduler's stream, kept across takeovers. */
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -9,9 +9,6 @@
 /* Delay of the worker's own timer, added to the time after which a lease has
  * certainly lapsed. */
 #define LAPSE_MARGIN_MS 250
-/* A previous scheduler may go on renewing leases until its membership of the
- * group expires. */
-#define PREVIOUS_SCHEDULER_MS 1500
 
 struct cw_pool *
 cw_sched_get_pool(struct cw_sched *s, struct cw_str service)
@@ -346,7 +343,7 @@
 {
     cw_ms longest =
         (cw_ms)((double)s->limits.lease_ms / (1.0 - CLOCK_DRIFT_MAX)) +
-        LAPSE_MARGIN_MS + PREVIOUS_SCHEDULER_MS;
+        LAPSE_MARGIN_MS + s->limits.renewals_ms;
 
     for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
         for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
--- /dev/null
+++ b/tests/jobd_rig.c
@@ -0,0 +1,422 @@
+#include "jobd_rig.h"
+
+#include "jobs_util.h"
+#include "platform_int.h"
+
+#include <string.h>
+
+#define BEGIN_MS 100000
+#define STEP_MS 50 /* longer than the time between commits and scans */
+
+/* ---- the store ---- */
+
+static void
+batch_add(void *ctx, struct cw_store_batch *b, struct cw_str key,
+          struct cw_str value)
+{
+    (void)ctx;
+    (void)key;
+    cw_buf_add_str(&b->bytes, value);
+    b->count++;
+}
+
+static void
+append(void *ctx, const struct cw_store_batch *b, uint64_t epoch,
+       uint64_t sequence, cw_ms timeout, cw_store_done done, void *arg)
+{
+    struct rig *r = ctx;
+
+    (void)sequence;
+    (void)timeout;
+    CW_INVARIANT(!r->append.open);
+    r->append = (struct rig_call){true, arg, {.done = done}};
+    r->append_epoch = epoch;
+    r->append_records = b->count;
+    r->appends++;
+}
+
+static void
+publish(void *ctx, const struct cw_store_batch *b, cw_ms timeout,
+        cw_store_done done, void *arg)
+{
+    struct rig *r = ctx;
+
+    (void)b;
+    CW_INVARIANT(!r->published.open);
+    r->published = (struct rig_call){true, arg, {.done = done}};
+    r->publish_timeout = timeout;
+    r->publish_count++;
+}
+
+static struct rig_call *
+page_call(struct rig *r, enum cw_stream stream)
+{
+    return stream == CW_STREAM_JOBS ? &r->jobs : &r->workers;
+}
+
+static void
+read_latest(void *ctx, enum cw_stream stream, struct cw_str after,
+            cw_ms timeout, cw_store_page_done done, void *arg)
+{
+    (void)after;
+    (void)timeout;
+    *page_call(ctx, stream) = (struct rig_call){true, arg, {.page = done}};
+}
+
+static void
+read_from(void *ctx, enum cw_stream stream, uint64_t from, cw_ms wait_ms,
+          cw_store_page_done done, void *arg)
+{
+    (void)from;
+    (void)wait_ms;
+    *page_call(ctx, stream) = (struct rig_call){true, arg, {.page = done}};
+}
+
+static void
+join(void *ctx, struct cw_str member, uint64_t generation, cw_ms ttl_ms,
+     cw_store_join_done done, void *arg)
+{
+    struct rig *r = ctx;
+
+    (void)member;
+    (void)generation;
+    (void)ttl_ms;
+    CW_INVARIANT(!r->join.open);
+    r->join = (struct rig_call){true, arg, {.join = done}};
+}
+
+static void
+leave(void *ctx, struct cw_str member, cw_store_done done, void *arg)
+{
+    (void)ctx;
+    (void)member;
+    (void)done;
+    (void)arg;
+}
+
+static void
+get_owner(void *ctx, cw_ms timeout, cw_store_owner_done done, void *arg)
+{
+    struct rig *r = ctx;
+
+    (void)timeout;
+    r->owner = (struct rig_call){true, arg, {.owner = done}};
+}
+
+/* ---- the worker ---- */
+
+static struct cw_worker_conn *
+conn_open(void *ctx, const struct cw_name *id, const struct cw_name *address)
+{
+    struct rig *r = ctx;
+
+    (void)id;
+    (void)address;
+    r->conn.rig = r;
+    return &r->conn;
+}
+
+static void
+answer_order(struct rig_call *c, enum cw_status s, bool start)
+{
+    struct rig_call call = *c;
+
+    if (!call.open) {
+        return;
+    }
+    c->open = false;
+    if (start) {
+        call.u.start(call.arg, s, CW_START_OK);
+    }
+    else {
+        call.u.order(call.arg, s);
+    }
+}
+
+static void
+conn_close(struct cw_worker_conn *c)
+{
+    struct rig *r = c->rig;
+    struct rig_call report = r->report;
+
+    for (size_t i = 0; i < RIG_ORDERS_MAX; i++) {
+        answer_order(&r->starts[i], CW_ERR_UNKNOWN, true);
+        answer_order(&r->stops[i], CW_ERR_UNKNOWN, false);
+    }
+    r->report.open = false;
+    if (report.open) {
+        report.u.report(report.arg, CW_ERR_UNKNOWN, NULL);
+    }
+}
+
+static struct rig_call *
+free_call(struct rig_call *calls)
+{
+    size_t i = 0;
+
+    while (i < RIG_ORDERS_MAX && calls[i].open) {
+        i++;
+    }
+    CW_INVARIANT(i < RIG_ORDERS_MAX);
+    return &calls[i];
+}
+
+static void
+start(struct cw_worker_conn *c, const struct cw_start_order *o, cw_ms timeout,
+      cw_start_done done, void *arg)
+{
+    (void)o;
+    (void)timeout;
+    *free_call(c->rig->starts) = (struct rig_call){true, arg, {.start = done}};
+    c->rig->start_count++;
+}
+
+static void
+stop(struct cw_worker_conn *c, const struct cw_run_row *row, uint64_t epoch,
+     cw_ms timeout, cw_worker_done done, void *arg)
+{
+    (void)row;
+    (void)epoch;
+    (void)timeout;
+    *free_call(c->rig->stops) = (struct rig_call){true, arg, {.order = done}};
+    c->rig->stop_count++;
+}
+
+static void
+pace(struct cw_worker_conn *c, const struct cw_run_row *row, uint32_t percent,
+     uint64_t epoch, cw_ms timeout, cw_worker_done done, void *arg)
+{
+    (void)row;
+    (void)epoch;
+    (void)timeout;
+    *free_call(c->rig->stops) = (struct rig_call){true, arg, {.order = done}};
+    c->rig->pace_count++;
+    c->rig->pace_percent = percent;
+}
+
+static void
+poll_report(struct cw_worker_conn *c, int64_t until_ms, uint64_t epoch,
+            uint64_t acked, cw_ms wait_ms, cw_ms timeout, cw_report_done done,
+            void *arg)
+{
+    struct rig *r = c->rig;
+
+    (void)epoch;
+    (void)acked;
+    (void)timeout;
+    CW_INVARIANT(!r->report.open);
+    r->report = (struct rig_call){true, arg, {.report = done}};
+    r->report_count++;
+    r->report_until = until_ms;
+    r->report_wait = wait_ms;
+}
+
+/* ---- the rig ---- */
+
+void
+rig_init(struct rig *r)
+{
+    struct cw_jobd *d = &r->d;
+
+    memset(r, 0, sizeof(*r));
+    r->clock = (struct cw_clock_manual){BEGIN_MS, 10 * BEGIN_MS};
+    cw_logger_setup(CW_ERROR + 1, stderr, NULL);
+    CW_INVARIANT(uv_loop_init(&r->loop) == 0);
+    d->loop = &r->loop;
+    d->clock = cw_clock_manual(&r->clock);
+    d->settings.member_ttl_ms = RIG_TTL_MS;
+    d->settings.lease_ms = RIG_LEASE_MS;
+    d->settings.status_ms = 120000;
+    (void)cw_name_set(&d->settings.daemon, CW_LIT("d0"));
+    (void)cw_name_set(&d->settings.peer_listen, CW_LIT("127.0.0.1:1"));
+    pf_record_port(&d->ports);
+    d->ports.ctx = r;
+    d->ports.store =
+        (struct cw_store_port){batch_add, append, publish, read_latest,
+                               read_from, join,   leave,   get_owner};
+    d->ports.exec = (struct cw_exec_port){conn_open, conn_close, start,
+                                          stop,      pace,       poll_report};
+    d->config.version = 1;
+    d->in_group = true;
+    d->store_ok = true;
+    d->scheduler_reachable_at = BEGIN_MS;
+    cw_metrics_init(&d->metrics);
+    CW_INVARIANT(cw_commit_init(d) == CW_OK);
+}
+
+static void
+give_up_page(struct rig_call *c)
+{
+    static const struct cw_store_page none;
+
+    if (c->open) {
+        c->open = false;
+        c->u.page(c->arg, CW_ERR_UNKNOWN, &none);
+    }
+}
+
+void
+rig_finish(struct rig *r)
+{
+    struct cw_jobd *d = &r->d;
+
+    cw_member_step_down(d, "finish");
+    give_up_page(&r->jobs);
+    give_up_page(&r->workers);
+    if (r->append.open) {
+        r->append.u.done(r->append.arg, CW_ERR_UNKNOWN);
+    }
+    if (r->published.open) {
+        r->published.u.done(r->published.arg, CW_ERR_UNKNOWN);
+    }
+    if (r->join.open) {
+        r->join.u.join(r->join.arg, CW_ERR_UNKNOWN, 0, false);
+    }
+    while (d->held != NULL) {
+        cw_calls_complete(d->held, CW_RESULT_NOT_RUN, "finish", 0);
+    }
+    cw_metrics_finish(&d->metrics);
+    cw_buf_finish(&d->batch.bytes);
+    uv_close((uv_handle_t *)&d->commit_timer, NULL);
+    uv_run(&r->loop, UV_RUN_NOWAIT);
+    CW_INVARIANT(uv_loop_close(&r->loop) == 0);
+}
+
+void
+rig_advance(struct rig *r, cw_ms ms)
+{
+    r->clock.now += ms;
+    r->clock.wall += ms;
+}
+
+void
+rig_run(struct rig *r)
+{
+    for (int i = 0; i < 3; i++) {
+        uv_run(&r->loop, UV_RUN_NOWAIT);
+    }
+}
+
+void
+rig_join(struct rig *r, uint64_t generation, bool assigned)
+{
+    struct rig_call c;
+
+    r->d.next_join_at = 0;
+    cw_member_tick(&r->d, r->clock.now);
+    c = r->join;
+    CW_INVARIANT(c.open);
+    r->join.open = false;
+    c.u.join(c.arg, CW_OK, generation, assigned);
+}
+
+void
+rig_answer_append(struct rig *r, enum cw_status s)
+{
+    struct rig_call c = r->append;
+
+    r->append.open = false;
+    c.u.done(c.arg, s);
+}
+
+static struct cw_worker_entry
+worker_entry(void)
+{
+    struct cw_worker_entry e = {.capacity = {4000, 4000, 0}, .born_wall = 1};
+
+    (void)cw_name_set(&e.id, CW_LIT("w-1"));
+    (void)cw_name_set(&e.service, CW_LIT(JOBS_SERVICE));
+    (void)cw_name_set(&e.address, CW_LIT("127.0.0.1:9"));
+    (void)cw_name_set(&e.vm, CW_LIT("m-1"));
+    return e;
+}
+
+void
+rig_take_over(struct rig *r)
+{
+    static const struct cw_store_page none;
+    struct cw_worker_entry e = worker_entry();
+    struct rig_call jobs;
+
+    rig_join(r, 1, true);
+    CW_INVARIANT(r->d.role == CW_ROLE_TAKEOVER);
+    rig_answer_append(r, CW_OK);
+    jobs = r->jobs;
+    r->jobs.open = false;
+    jobs.u.page(jobs.arg, CW_OK, &none);
+    CW_INVARIANT(r->d.role == CW_ROLE_SCHEDULER);
+    r->worker = cw_sched_worker_listed(r->d.sched, &e, r->clock.now);
+    cw_agents_scan(&r->d, r->clock.now);
+    rig_report(r, NULL, 0);
+    rig_advance(r, STEP_MS);
+}
+
+void
+rig_begin_commit(struct rig *r)
+{
+    rig_advance(r, STEP_MS);
+    uv_timer_stop(&r->d.commit_timer); /* it may wait on the loop's clock */
+    cw_commit_schedule(&r->d);
+    rig_run(r);
+}
+
+void
+rig_commit(struct rig *r, enum cw_status s)
+{
+    rig_begin_commit(r);
+    if (r->append.open) {
+        rig_answer_append(r, s);
+    }
+}
+
+void
+rig_answer_orders(struct rig *r)
+{
+    for (size_t i = 0; i < RIG_ORDERS_MAX; i++) {
+        answer_order(&r->starts[i], CW_OK, true);
+        answer_order(&r->stops[i], CW_OK, false);
+    }
+}
+
+void
+rig_report(struct rig *r, const struct cw_run_row *rows, size_t n)
+{
+    struct cw_run_report rep = {.born_wall = 1,
+                                .clock_ms = r->clock.now,
+                                .running = rows,
+                                .running_count = n};
+    struct rig_call c = r->report;
+
+    CW_INVARIANT(c.open);
+    r->report.open = false;
+    c.u.report(c.arg, CW_OK, &rep);
+}
+
+void
+rig_set_membership(struct rig *r, cw_ms left)
+{
+    r->d.member_valid_until = r->clock.now + left;
+}
+
+struct cw_job_entry *
+rig_accept(struct rig *r, uint64_t id, bool lasting)
+{
+    struct cw_job_spec spec = jobs_spec(id, 1, 500);
+    struct cw_job_entry *j = NULL;
+
+    spec.steps[0].lasting = lasting;
+    CW_INVARIANT(cw_sched_accept(r->d.sched, &spec, r->clock.now, &j) ==
+                 CW_OK);
+    return j;
+}
+
+struct cw_task *
+rig_run_task(struct rig *r, uint64_t id)
+{
+    struct cw_task *t = &rig_accept(r, id, true)->tasks[0];
+
+    rig_commit(r, CW_OK);
+    rig_answer_orders(r);
+    CW_INVARIANT(t->state == CW_RUN_RUNNING);
+    return t;
+}
--- /dev/null
+++ b/tests/jobd_rig.h
@@ -0,0 +1,91 @@
+/* One daemon without network, on a clock that the test sets: the test gives
+ * the answers of the store and of the worker, and sees what the daemon sends.
+ */
+#ifndef JOBD_RIG_H
+#define JOBD_RIG_H
+
+#include "cw_jobd.h"
+
+#define RIG_TTL_MS 1000
+#define RIG_LEASE_MS 4500
+
+/* An open call to the store or to the worker. */
+struct rig_call {
+    bool open;
+    void *arg;
+    union {
+        cw_store_done done;
+        cw_store_page_done page;
+        cw_store_join_done join;
+        cw_store_owner_done owner;
+        cw_start_done start;
+        cw_worker_done order;
+        cw_report_done report;
+    } u;
+};
+
+#define RIG_ORDERS_MAX 8
+
+struct cw_worker_conn {
+    struct rig *rig;
+};
+
+struct rig {
+    uv_loop_t loop;
+    struct cw_clock_manual clock;
+    struct cw_jobd d;
+    struct cw_worker *worker;
+    struct cw_worker_conn conn;
+    struct rig_call append;
+    uint64_t append_epoch;
+    size_t append_records;
+    struct rig_call join;
+    struct rig_call jobs;    /* read of the records of jobs */
+    struct rig_call workers; /* read of the list of workers */
+    struct rig_call owner;
+    struct rig_call vms; /* read of the list of VMs */
+    struct rig_call published;
+    cw_ms publish_timeout;
+    struct rig_call starts[RIG_ORDERS_MAX];
+    struct rig_call stops[RIG_ORDERS_MAX]; /* and paces */
+    struct rig_call report;
+    /* Observations. */
+    uint32_t appends;
+    uint32_t start_count;
+    uint32_t stop_count;
+    uint32_t pace_count;
+    uint32_t pace_percent;
+    uint32_t report_count;
+    uint32_t publish_count;
+    int64_t report_until; /* of the last call for a report */
+    cw_ms report_wait;
+};
+
+/* The daemon is a member of the group, not the scheduler. */
+void rig_init(struct rig *r);
+void rig_finish(struct rig *r);
+void rig_advance(struct rig *r, cw_ms ms);
+/* Runs what the daemon has scheduled for now. */
+void rig_run(struct rig *r);
+/* Sends a join and answers it. */
+void rig_join(struct rig *r, uint64_t generation, bool assigned);
+/* Answers the takeover's calls: the daemon is the scheduler of a worker that
+ * has reported. */
+void rig_take_over(struct rig *r);
+/* Lets time pass until a commit may start; its append stays open. */
+void rig_begin_commit(struct rig *r);
+void rig_answer_append(struct rig *r, enum cw_status s);
+/* Both. */
+void rig_commit(struct rig *r, enum cw_status s);
+/* Answers all orders that are open. */
+void rig_answer_orders(struct rig *r);
+/* Answers the open call for a report, which lists these runs. */
+void rig_report(struct rig *r, const struct cw_run_row *rows, size_t n);
+/* Sets the end of the membership relative to now. */
+void rig_set_membership(struct rig *r, cw_ms left);
+/* Accepts a job of one task, lasting or not, without a commit. */
+struct cw_job_entry *rig_accept(struct rig *r, uint64_t id, bool lasting);
+/* The same, and its task runs. */
+struct cw_task *rig_run_task(struct rig *r, uint64_t id);
+
+#endif
--- a/tests/jobs_util.c
+++ b/tests/jobs_util.c
@@ -46,8 +46,8 @@
 
 static const struct cw_sched_ops ops = {
     .start = on_start, .stop = on_stop, .pace = on_pace};
-static const struct cw_sched_limits limits = {.status_ms = 120000,
-                                              .lease_ms = JOBS_LEASE_MS};
+static const struct cw_sched_limits limits = {
+    .status_ms = 120000, .lease_ms = JOBS_LEASE_MS, .renewals_ms = 2000};
 
 void
 jobs_setup(struct jobs_fixture *f)
--- a/tests/test_decoders.c
+++ b/tests/test_decoders.c
@@ -138,7 +138,7 @@
 {
     struct cw_sched s;
     static const struct cw_sched_ops ops;
-    static const struct cw_sched_limits limits = {1000, 4000};
+    static const struct cw_sched_limits limits = {1000, 4000, 2000};
 
     cw_sched_init(&s, &limits, &ops, NULL);
     (void)cw_sched_load(&s, CW_LIT("j0000000000000007"), in, 1000);
--- /dev/null
+++ b/tests/test_proof.c
@@ -0,0 +1,239 @@
+/* Tests what a scheduler does while its membership of the group may have
+ * expired, so that another daemon may schedule. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "jobd_rig.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct rig rig;
+
+static int
+setup(void **state)
+{
+    (void)state;
+    rig_init(&rig);
+    rig_take_over(&rig);
+    return 0;
+}
+
+static int
+teardown(void **state)
+{
+    (void)state;
+    rig_finish(&rig);
+    return 0;
+}
+
+static void
+restart(void)
+{
+    rig_finish(&rig);
+    (void)setup(NULL);
+}
+
+/* The membership with time left, over but within the grace of renewals, and
+ * over for longer. */
+static const struct {
+    cw_ms left;
+    bool valid;
+    bool may_renew;
+} memberships[] = {
+    {900, true, true},
+    {1, true, true},
+    {0, false, true},
+    {-900, false, true},
+    {-CW_RENEWAL_GRACE_MS + 1, false, true},
+    {-CW_RENEWAL_GRACE_MS, false, false},
+    {-5000, false, false},
+};
+
+/* ---- orders ---- */
+
+/* Makes the scheduler send an order; a start follows its commit, whose append
+ * succeeds after the membership has changed. */
+static void
+give_order(char kind, struct cw_task *t, cw_ms left)
+{
+    struct cw_run_row row = cw_task_row(t);
+
+    if (kind == 's') {
+        (void)rig_accept(&rig, 2, false);
+        rig_begin_commit(&rig);
+        assert_true(rig.append.open);
+        rig_set_membership(&rig, left);
+        rig_answer_append(&rig, CW_OK);
+        return;
+    }
+    rig_set_membership(&rig, left);
+    if (kind == 'x') {
+        cw_agent_ops.stop(&rig.d, rig.worker, &row);
+        return;
+    }
+    cw_agent_ops.pace(&rig.d, t, 40);
+    cw_agent_ops.pace(&rig.d, t, 50);
+}
+
+static uint32_t
+orders_sent(char kind)
+{
+    return kind == 's'   ? rig.start_count
+           : kind == 'x' ? rig.stop_count
+                         : rig.pace_count;
+}
+
+/* Guards against tasks that start, stop or change their pace on the order of a
+ * scheduler that another daemon has replaced (rule TWICE). The order is sent
+ * once when the membership is renewed in time. */
+static void
+test_orders_need_membership(void **state)
+{
+    static const char kinds[] = {'s', 'x', 'p'};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(memberships) * COUNT(kinds); i++) {
+        char kind = kinds[i % COUNT(kinds)];
+        bool valid = memberships[i / COUNT(kinds)].valid;
+        struct cw_task *t;
+        uint32_t before;
+
+        restart();
+        t = rig_run_task(&rig, 1);
+        before = orders_sent(kind);
+        give_order(kind, t, memberships[i / COUNT(kinds)].left);
+        assert_int_equal(orders_sent(kind) > before, valid);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        assert_int_equal(orders_sent(kind) > before, valid);
+        rig_set_membership(&rig, 900);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        assert_int_equal(orders_sent(kind),
+                         before + (kind == 'p' && valid ? 2 : 1));
+        assert_true(kind != 'p' || rig.pace_percent == 50);
+    }
+}
+
+/* Guards against an order without an answer that is repeated after the
+ * membership has expired. */
+static void
+test_retries_need_membership(void **state)
+{
+    struct cw_run_row row;
+    struct rig_call c;
+
+    (void)state;
+    row = cw_task_row(rig_run_task(&rig, 1));
+    cw_sched_stop_task(rig.d.sched, cw_sched_find_task(rig.d.sched, &row),
+                       rig.clock.now);
+    assert_int_equal(rig.stop_count, 1);
+    c = rig.stops[0];
+    rig.stops[0].open = false;
+    c.u.order(c.arg, CW_ERR_UNKNOWN);
+    rig_advance(&rig, 200);
+    rig_set_membership(&rig, 0);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_int_equal(rig.stop_count, 1);
+    rig_set_membership(&rig, 900);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_int_equal(rig.stop_count, 2);
+}
+
+/* ---- renewals ---- */
+
+/* Guards against a replaced scheduler that keeps a run alive which its
+ * successor starts again elsewhere (review case 4, rule TWICE). */
+static void
+test_renewals_end(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < COUNT(memberships); i++) {
+        struct cw_run_row row;
+        cw_ms lapse_at;
+        uint32_t reports;
+
+        restart();
+        row = cw_task_row(rig_run_task(&rig, 1));
+        if (!rig.report.open) {
+            cw_agents_scan(&rig.d, rig.clock.now);
+        }
+        rig_advance(&rig, 300);
+        rig_set_membership(&rig, memberships[i].left);
+        lapse_at = rig.worker->lapse_at;
+        reports = rig.report_count;
+        rig_report(&rig, &row, 1);
+        /* Reports are fetched as before: one may show a newer fence. */
+        assert_int_equal(rig.report_count, reports + 1);
+        assert_int_equal(rig.report_until > 0, memberships[i].may_renew);
+        assert_int_equal(rig.worker->lapse_at > lapse_at,
+                         memberships[i].may_renew);
+    }
+}
+
+/* Guards against leases that end up to a second earlier than they may, and
+ * against renewals that resume late: the last renewal before the end of the
+ * grace goes out shortly before it, and reports without a renewal do not wait
+ * long. */
+static void
+test_last_renewal(void **state)
+{
+    static const struct {
+        cw_ms left; /* of the time for renewals */
+        cw_ms wait_min;
+        cw_ms wait_max;
+    } cases[] = {
+        {2000, 1000, 1000}, {1200, 1000, 1000}, {700, 500, 650},
+        {300, 100, 250},    {50, 50, 300},      {0, 50, 300},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_run_row row;
+
+        restart();
+        row = cw_task_row(rig_run_task(&rig, 1));
+        if (!rig.report.open) {
+            cw_agents_scan(&rig.d, rig.clock.now);
+        }
+        rig_set_membership(&rig, cases[i].left - CW_RENEWAL_GRACE_MS);
+        rig_report(&rig, &row, 1);
+        assert_in_range(rig.report_wait, cases[i].wait_min, cases[i].wait_max);
+    }
+}
+
+/* Guards against a new scheduler that counts a run as over while the former
+ * one may still have renewed its lease: the role can be assigned anew just
+ * after the former scheduler's membership was renewed. */
+static void
+test_successor_waits(void **state)
+{
+    struct cw_sched *s = rig.d.sched;
+    cw_ms last_renewal;
+
+    (void)state;
+    cw_sched_loaded(s, rig.clock.now);
+    last_renewal = rig.clock.now + RIG_TTL_MS + CW_RENEWAL_GRACE_MS;
+    /* The worker's clock may be 2% slow. */
+    assert_true(rig.worker->lapse_at >=
+                last_renewal + RIG_LEASE_MS * 100 / 98);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_orders_need_membership, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_retries_need_membership, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_renewals_end, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_last_renewal, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_successor_waits, setup, teardown),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
