Scheduler: prove the role by an append after a gap in the membership

What callers saw: nothing so far; found by reading. A scheduler whose membership had expired and came back acted on its old table at once, although another daemon may have scheduled in between: its orders and renewals were stopped only where a worker or the store had seen the other epoch.

Cause: on_join kept the role whenever the store assigned the part, also after the membership had expired.

Evidence: test_gap_needs_append and test_gap_old_append failed before (cw_member_lease_valid was true after the gap).

Change: after a gap the membership counts as valid only once an append that was sent after it came back has succeeded: a successor's epoch would have fenced it. A batch in flight does not count, because the store answers a repeat with its first answer. If nothing is to be written, the batch drops a key that never has a value. When fenced, the daemon takes over anew. The generation is not used: an unchanged one would prove the same only if it rises with each assignment at once, which the protocol does not say.

--- a/packages/jobd/commit.c
+++ b/packages/jobd/commit.c
@@ -27,6 +27,7 @@
 static void
 complete_commit(struct cw_jobd *d)
 {
+    cw_member_committed(d, d->batch_number);
     cw_sched_committed(d->sched, d->batch_number);
     cw_calls_committed(d, d->batch_number);
     cw_fleet_committed(d, d->batch_number);
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -125,6 +125,10 @@
     cw_ms next_join_at;
     cw_ms member_valid_until; /* guaranteed at least until then */
     bool membership_expired;  /* while this daemon schedules; logged */
+    /* The membership had expired since the epoch was set: whether another
+     * daemon has scheduled is known once proof_batch is durable. */
+    bool proof_due;
+    uint64_t proof_batch; /* 0: not requested yet */
     bool store_ok;
     struct cw_name scheduler; /* its peer address, "" while unknown */
     struct cw_name scheduler_logged;
@@ -264,6 +268,8 @@
 void cw_member_leave(struct cw_jobd *d);
 /* Ends the scheduler role of this daemon. */
 void cw_member_step_down(struct cw_jobd *d, const char *why);
+/* A batch is durable: no other daemon had scheduled until then. */
+void cw_member_committed(struct cw_jobd *d, uint64_t batch);
 /* This daemon is the scheduler and its membership cannot have expired, so that
  * it may send orders and answer from its table. */
 bool cw_member_lease_valid(const struct cw_jobd *d, cw_ms now);
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -41,7 +41,8 @@
 bool
 cw_member_lease_valid(const struct cw_jobd *d, cw_ms now)
 {
-    return d->role == CW_ROLE_SCHEDULER && now < d->member_valid_until;
+    return d->role == CW_ROLE_SCHEDULER && !d->proof_due &&
+           now < d->member_valid_until;
 }
 
 cw_ms
@@ -49,7 +50,32 @@
 {
     cw_ms left = d->member_valid_until - now + CW_RENEWAL_GRACE_MS;
 
-    return d->role == CW_ROLE_SCHEDULER && left > 0 ? left : 0;
+    return d->role == CW_ROLE_SCHEDULER && !d->proof_due && left > 0 ? left
+                                                                     : 0;
+}
+
+static void
+require_proof(struct cw_jobd *d)
+{
+    d->proof_due = true;
+    if (d->role == CW_ROLE_SCHEDULER) {
+        /* Not a batch in flight: the store answers a repeat of it as it did
+         * before the gap. */
+        d->proof_batch = cw_sched_request_proof(d->sched);
+        cw_jobd_count(d, "cuminwalk_proofs_total", "gap");
+        cw_commit_schedule(d);
+    }
+}
+
+void
+cw_member_committed(struct cw_jobd *d, uint64_t batch)
+{
+    if (d->proof_due && d->proof_batch != 0 && batch >= d->proof_batch) {
+        d->proof_due = false;
+        cw_log(CW_INFO, "role_proved", "epoch=%llu generation=%llu",
+               (unsigned long long)d->epoch,
+               (unsigned long long)d->generation);
+    }
 }
 
 void
@@ -63,6 +89,8 @@
            (long long)(cw_jobd_now(d) - d->role_since));
     d->term++;
     d->role = CW_ROLE_FOLLOWER;
+    d->proof_due = false;
+    d->proof_batch = 0;
     d->scheduler.len = 0;
     d->scheduler.text[0] = '\0';
     d->scheduler_query_due = 0;
@@ -108,6 +136,9 @@
     cw_watch_operators_again(d);
     cw_watch_workers(d, now);
     cw_commit_schedule(d);
+    if (d->proof_due) {
+        require_proof(d);
+    }
 }
 
 static void
@@ -228,6 +259,7 @@
     struct join_ctx call = *(struct join_ctx *)arg;
     struct cw_jobd *d = call.d;
     cw_ms now = cw_jobd_now(d);
+    bool expired = now >= d->member_valid_until;
 
     free(arg);
     if (d->finished) {
@@ -257,6 +289,9 @@
     else if (d->role == CW_ROLE_FOLLOWER) {
         start_takeover(d, now);
     }
+    else if (expired && now < d->member_valid_until) {
+        require_proof(d);
+    }
 }
 
 static void
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -376,6 +376,7 @@
     uint64_t committed; /* batches up to here are durable */
     cw_ms wall_offset;  /* wall time minus monotonic */
     bool plan_due;      /* of at least one pool */
+    bool proof_due;     /* the open batch is written also without a change */
 };
 
 void cw_sched_init(struct cw_sched *s, const struct cw_sched_limits *limits,
@@ -442,6 +443,10 @@
                         void (*put)(void *arg, struct cw_str key,
                                     struct cw_str value),
                         void *arg);
+/* Has the open batch written also when nothing changes, and returns its
+ * number. When its append succeeds, no other scheduler had begun until then:
+ * its epoch would have fenced the append. */
+uint64_t cw_sched_request_proof(struct cw_sched *s);
 /* Loads a record that a previous scheduler wrote. A job's spec must be loaded
  * before its progress. */
 enum cw_status cw_sched_load(struct cw_sched *s, struct cw_str key,
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -11,6 +11,8 @@
  * keys loads a job's spec first. */
 #define KIND_SPEC 'j'
 #define KIND_PROGRESS 'p'
+/* Never has a value: a record that drops it changes nothing. */
+#define PROOF_KEY "proof"
 
 static size_t
 job_key(char out[CW_JOB_KEY_MAX], char kind, uint64_t id)
@@ -261,19 +263,32 @@
     cw_buf_finish(&b);
 }
 
+uint64_t
+cw_sched_request_proof(struct cw_sched *s)
+{
+    s->proof_due = true;
+    return s->batch;
+}
+
 uint64_t
 cw_sched_flush(struct cw_sched *s,
                void (*put)(void *arg, struct cw_str key, struct cw_str value),
                void *arg)
 {
     bool acks = false;
+    bool changed;
 
     for (struct cw_worker *w = s->acks; w != NULL && !acks; w = w->ack_next) {
         acks = w->ack_pending > w->acked && w->ack_batch == s->batch;
     }
-    if (s->dirty == NULL && !acks && !cw_kv_changed(s)) {
+    changed = s->dirty != NULL || cw_kv_changed(s);
+    if (!changed && !acks && !s->proof_due) {
         return 0;
     }
+    if (!changed && s->proof_due) {
+        put(arg, CW_LIT(PROOF_KEY), CW_LIT(""));
+    }
+    s->proof_due = false;
     cw_kv_flush(s, put, arg);
     while (s->dirty != NULL) {
         struct cw_job_entry *j = s->dirty;
--- a/tests/test_proof.c
+++ b/tests/test_proof.c
@@ -222,6 +222,106 @@
                 last_renewal + RIG_LEASE_MS * 100 / 98);
 }
 
+/* ---- after a gap ---- */
+
+/* Lets the membership expire and come back while a task runs. */
+static void
+leave_gap(uint64_t generation)
+{
+    rig_set_membership(&rig, -1500);
+    rig_join(&rig, generation, true);
+    rig_begin_commit(&rig);
+}
+
+/* Guards against a scheduler that acts on its old table after another one may
+ * have scheduled while its membership had expired: an append under its epoch
+ * has to succeed first. */
+static void
+test_gap_needs_append(void **state)
+{
+    static const struct {
+        uint64_t generation;
+        enum cw_status append;
+        bool stays;
+    } cases[] = {
+        {1, CW_OK, true},
+        {3, CW_OK, true},
+        {3, CW_ERR_FENCED, false}, /* there was a successor */
+    };
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_task *t;
+        uint32_t stops;
+
+        restart();
+        t = rig_run_task(&rig, 1);
+        stops = rig.stop_count;
+        leave_gap(cases[i].generation);
+        assert_false(cw_member_lease_valid(&rig.d, rig.clock.now));
+        assert_true(cw_member_renewals_left(&rig.d, rig.clock.now) == 0);
+        cw_sched_stop_task(rig.d.sched, t, rig.clock.now);
+        assert_int_equal(rig.stop_count, stops);
+        assert_true(rig.append.open && rig.append_records > 0);
+        rig_answer_append(&rig, cases[i].append);
+        assert_int_equal(cw_member_lease_valid(&rig.d, rig.clock.now),
+                         cases[i].stays);
+        assert_int_equal(rig.d.role, cases[i].stays ? CW_ROLE_SCHEDULER
+                                                    : CW_ROLE_FOLLOWER);
+        if (cases[i].stays) {
+            cw_agents_scan(&rig.d, rig.clock.now);
+        }
+        assert_int_equal(rig.stop_count, stops + cases[i].stays);
+    }
+}
+
+/* Guards against an append that was sent before the end of the gap and counts
+ * as the proof: a repeat of it gets its first answer. */
+static void
+test_gap_old_append(void **state)
+{
+    (void)state;
+    (void)rig_run_task(&rig, 1);
+    (void)rig_accept(&rig, 2, false);
+    rig_begin_commit(&rig);
+    assert_true(rig.append.open);
+    leave_gap(3);
+    rig_answer_append(&rig, CW_OK);
+    assert_false(cw_member_lease_valid(&rig.d, rig.clock.now));
+    rig_begin_commit(&rig);
+    assert_true(rig.append.open);
+    /* A second gap needs another proof. */
+    leave_gap(5);
+    rig_answer_append(&rig, CW_OK);
+    assert_false(cw_member_lease_valid(&rig.d, rig.clock.now));
+    rig_begin_commit(&rig);
+    rig_answer_append(&rig, CW_OK);
+    assert_true(cw_member_lease_valid(&rig.d, rig.clock.now));
+}
+
+/* Guards against priced appends without need: a membership that is renewed in
+ * time needs no proof, also when the group has changed, nor does an answer
+ * that comes too late to make it valid. */
+static void
+test_no_gap_no_append(void **state)
+{
+    (void)state;
+    (void)rig_run_task(&rig, 1);
+    rig_join(&rig, 2, true);
+    rig_begin_commit(&rig);
+    assert_false(rig.append.open);
+    assert_true(cw_member_lease_valid(&rig.d, rig.clock.now));
+    rig.d.next_join_at = 0;
+    cw_member_tick(&rig.d, rig.clock.now);
+    assert_true(rig.join.open);
+    rig_advance(&rig, 5000);
+    rig.join.open = false;
+    rig.join.u.join(rig.join.arg, CW_OK, 2, true);
+    rig_begin_commit(&rig);
+    assert_false(rig.append.open);
+    assert_false(cw_member_lease_valid(&rig.d, rig.clock.now));
+}
+
 int
 main(void)
 {
@@ -233,6 +333,11 @@
         cmocka_unit_test_setup_teardown(test_renewals_end, setup, teardown),
         cmocka_unit_test_setup_teardown(test_last_renewal, setup, teardown),
         cmocka_unit_test_setup_teardown(test_successor_waits, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_gap_needs_append, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_gap_old_append, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_no_gap_no_append, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
