Scheduler: answer calls only with a valid membership

Cause: a daemon in the role ran and answered calls from its table without asking whether its membership was still valid, and reported itself ready as long as it had the role.

Change: without a valid membership the own callers' calls are held as without a scheduler, and forwarded ones get NOT_SCHEDULER. Calls that wait for a commit go on waiting, and a repeat of what is in an append of this scheduler joins them: the append that succeeds is itself the proof, and 'not run' would be false (test_store_unavailable of test_jobd).

A follower whose scheduler cannot prove its role sends it no calls until it has: a probe, every 250 ms then, and a message to all daemons at each change of the role's validity tell it. It asks the store again soon, and other members when the store does not answer. test_scheduler_cannot_prove_its_role guards against calls that go to and fro while the store still names that scheduler.

--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -72,7 +72,32 @@
 scheduler_reachable(const struct cw_jobd *d)
 {
     return d->scheduler.len > 0 && d->scheduler_conn_open &&
-           !d->scheduler_unproved;
+           !d->scheduler_unproved && d->scheduler_denied_at == 0;
+}
+
+bool
+cw_calls_served_lately(const struct cw_jobd *d, cw_ms now)
+{
+    return now - d->scheduler_reachable_at <= TAKEOVER_MAX_MS;
+}
+
+static void run_call(struct cw_jobd *d, struct cw_call *c, cw_ms now);
+
+/* The answer rests on an append under our epoch, not only on the table: a
+ * repeat of a submission that was appended, or of a change that is in a batch
+ * without an answer, so that "not run" would be false. */
+static bool
+rests_on_append(const struct cw_jobd *d, const struct cw_call *c)
+{
+    const struct cw_job_entry *j;
+
+    if (d->role != CW_ROLE_SCHEDULER ||
+        (c->kind != CW_CALL_SUBMIT && c->kind != CW_CALL_CANCEL)) {
+        return false;
+    }
+    j = cw_sched_find_job(d->sched, c->id);
+    return j != NULL &&
+           (c->kind == CW_CALL_SUBMIT || j->state_batch > d->sched->committed);
 }
 
 void
@@ -80,16 +105,26 @@
 {
     cw_ms now = cw_jobd_now(d);
 
-    if (d->role == CW_ROLE_SCHEDULER && !refuses_change(d, c)) {
-        cw_calls_run(d, c);
+    if ((cw_member_lease_valid(d, now) || rests_on_append(d, c)) &&
+        !refuses_change(d, c)) {
+        run_call(d, c, now);
+        return;
+    }
+    if (d->role == CW_ROLE_SCHEDULER && !d->stopping && !c->withheld) {
+        c->withheld = true;
+        cw_jobd_count(d, "cuminwalk_withheld_total", "call");
+    }
+    if (c->from_peer) {
+        cw_calls_complete(c, CW_RESULT_NOT_SCHEDULER,
+                          refuses_change(d, c) ? "stopping" : "not_scheduler",
+                          RETRY_AFTER_MS);
         return;
     }
     if (d->role == CW_ROLE_FOLLOWER && scheduler_reachable(d)) {
         cw_forward_call(d, c);
         return;
     }
-    if (now - c->arrived > HOLD_MAX_MS ||
-        now - d->scheduler_reachable_at > TAKEOVER_MAX_MS) {
+    if (now - c->arrived > HOLD_MAX_MS || !cw_calls_served_lately(d, now)) {
         cw_calls_complete(c, CW_RESULT_NOT_RUN, "no_scheduler",
                           RETRY_AFTER_MS);
         return;
@@ -149,22 +184,11 @@
     await_commit(d, c, j->state_batch);
 }
 
-void
-cw_calls_run(struct cw_jobd *d, struct cw_call *c)
+static void
+run_call(struct cw_jobd *d, struct cw_call *c, cw_ms now)
 {
-    cw_ms now = cw_jobd_now(d);
     struct cw_job_entry *j;
 
-    if (d->role != CW_ROLE_SCHEDULER) {
-        cw_calls_complete(c, CW_RESULT_NOT_SCHEDULER, "not_scheduler",
-                          RETRY_AFTER_MS);
-        return;
-    }
-    if (refuses_change(d, c)) {
-        cw_calls_complete(c, CW_RESULT_NOT_SCHEDULER, "stopping",
-                          RETRY_AFTER_MS);
-        return;
-    }
     switch (c->kind) {
     case CW_CALL_SUBMIT:
         run_submit(d, c, now);
@@ -256,7 +280,8 @@
 {
     struct cw_call *held = d->held;
 
-    if (d->role != CW_ROLE_FOLLOWER || scheduler_reachable(d)) {
+    if (d->role == CW_ROLE_TAKEOVER || cw_member_lease_valid(d, now) ||
+        (d->role == CW_ROLE_FOLLOWER && scheduler_reachable(d))) {
         d->scheduler_reachable_at = now;
     }
     d->held = NULL;
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -65,6 +65,8 @@
     cw_ms deadline;
     uint64_t batch;  /* answered when this batch is durable */
     uint64_t stream; /* identifies the forwarded call on its connection */
+    bool from_peer;  /* another daemon has forwarded it */
+    bool withheld;   /* came while the membership had expired; counted */
     bool sent;       /* forwarded to the scheduler */
     bool retried;
     /* Answer. */
@@ -137,6 +139,9 @@
     /* Its address is a guess, or it has denied its role: no calls are sent to
      * it. */
     bool scheduler_unproved;
+    /* It could not prove its role since then, so that no calls are sent to it;
+     * 0: it has not said so on this connection, or it has proved it since. */
+    cw_ms scheduler_denied_at;
     /* The scheduler confirmed its role on the open connection, with a valid
      * membership; 0: not yet. */
     cw_ms scheduler_confirmed_at;
@@ -184,7 +189,7 @@
     cw_ms scheduler_conn_at;      /* last connect or close */
     cw_ms scheduler_probe_at;     /* last probe sent */
     cw_ms scheduler_heard_at;     /* last frame from it, or first call sent */
-    cw_ms scheduler_reachable_at; /* connected, or this daemon scheduled */
+    cw_ms scheduler_reachable_at; /* calls could last be run or forwarded */
     uint64_t last_stream;
 
     /* Listeners. */
@@ -231,10 +236,12 @@
 /* ---- calls.c ---- */
 
 /* Runs a call here, forwards it to the scheduler, or holds it until there is
- * one. */
+ * one. A call that another daemon has forwarded is run here or gets
+ * CW_RESULT_NOT_SCHEDULER. */
 void cw_calls_dispatch(struct cw_jobd *d, struct cw_call *c);
-/* Runs a call here; CW_RESULT_NOT_SCHEDULER when this daemon is a follower. */
-void cw_calls_run(struct cw_jobd *d, struct cw_call *c);
+/* A scheduler was there to run calls until a short time ago; when false, they
+ * are refused at once. */
+bool cw_calls_served_lately(const struct cw_jobd *d, cw_ms now);
 /* Sets the result and calls done. */
 void cw_calls_complete(struct cw_call *c, enum cw_call_result r,
                        const char *why, cw_ms retry_after);
@@ -251,8 +258,8 @@
 enum cw_status cw_jobd_peers_init(struct cw_jobd *d);
 void cw_forward_call(struct cw_jobd *d, struct cw_call *c);
 void cw_forward_scheduler_tick(struct cw_jobd *d, cw_ms now);
-/* Tells the connected daemons that this one no longer schedules. */
-void cw_forward_role_ended(struct cw_jobd *d);
+/* Tells the connected daemons whether this one schedules now. */
+void cw_forward_role_changed(struct cw_jobd *d);
 /* The connected scheduler has confirmed its role recently, so that the store
  * need not be asked who schedules. */
 bool cw_forward_confirmed(const struct cw_jobd *d, cw_ms now);
--- a/packages/jobd/forward.c
+++ b/packages/jobd/forward.c
@@ -20,6 +20,9 @@
  * that some hundred daemons cost the scheduler little. */
 #define PROBE_INTERVAL_MS 1000
 #define CONFIRMED_MAX_MS 2500
+/* Time between probes of a scheduler that could not prove its role; it also
+ * tells when it can. */
+#define PROBE_DENIED_MS 250
 
 /* A call that another daemon forwarded. */
 struct incoming_call {
@@ -77,7 +80,7 @@
 }
 
 void
-cw_forward_role_ended(struct cw_jobd *d)
+cw_forward_role_changed(struct cw_jobd *d)
 {
     Cuminwalk__Envelope env = CUMINWALK__ENVELOPE__INIT;
     Cuminwalk__JobAnswer m = CUMINWALK__JOB_ANSWER__INIT;
@@ -114,6 +117,17 @@
     }
 }
 
+/* The connected daemon cannot prove its role. */
+static void
+note_denial(struct cw_jobd *d, cw_ms now)
+{
+    d->scheduler_confirmed_at = 0;
+    if (d->scheduler_denied_at == 0) {
+        d->scheduler_denied_at = now;
+        d->scheduler_query_due = 0;
+    }
+}
+
 static void
 handle_probe_answer(struct cw_jobd *d, const struct cw_peer_conn *conn,
                     const Cuminwalk__JobAnswer *m)
@@ -128,7 +142,16 @@
         return;
     }
     d->scheduler_unproved = false;
-    d->scheduler_confirmed_at = m->result == CW_RESULT_OK ? now : 0;
+    if (m->result == CW_RESULT_OK) {
+        d->scheduler_denied_at = 0;
+        d->scheduler_confirmed_at = now;
+        if (d->scheduler.len == 0) {
+            d->scheduler = d->scheduler_conn_address;
+        }
+    }
+    else {
+        note_denial(d, now);
+    }
     d->scheduler_seen_at = now;
     if (m->config_version > d->config.version) {
         cw_watch_operators_again(d);
@@ -188,6 +211,7 @@
     cw_peer_conn_set_data(conn, in);
     in->call.kind = (enum cw_caller_op)m->kind;
     in->call.id = m->id;
+    in->call.from_peer = true;
     in->call.arrived = now;
     in->call.deadline = now + m->timeout_ms;
     in->call.done = incoming_done;
@@ -199,7 +223,7 @@
         cw_calls_complete(&in->call, CW_RESULT_NOT_RUN, "bad_call", 0);
         return;
     }
-    cw_calls_run(d, &in->call);
+    cw_calls_dispatch(d, &in->call);
 }
 
 static struct cw_call *
@@ -222,9 +246,9 @@
         return;
     }
     if (m->result == CW_RESULT_NOT_SCHEDULER) {
-        /* Nothing was done there: query for the scheduler and retry. */
-        d->scheduler_query_due = 0;
-        d->scheduler.len = 0;
+        /* Nothing was done there: it is sent again once that daemon has
+         * proved its role, or the store names another one. */
+        note_denial(d, cw_jobd_now(d));
         cw_calls_unlink(c);
         c->sent = false;
         cw_calls_push(&d->held, c);
@@ -285,6 +309,7 @@
         d->scheduler_conn_open = true;
         d->scheduler_heard_at = cw_jobd_now(d);
         d->scheduler_confirmed_at = 0;
+        d->scheduler_denied_at = 0;
         send_probe(d, d->scheduler_heard_at);
     }
 }
@@ -326,6 +351,7 @@
         d->scheduler_conn = NULL;
         d->scheduler_conn_open = false;
         d->scheduler_confirmed_at = 0;
+        d->scheduler_denied_at = 0;
         d->scheduler_conn_at = cw_jobd_now(d);
         d->scheduler_query_due = 0;
         retry_or_fail_forwarded(d);
@@ -439,7 +465,8 @@
                    d->scheduler_conn_address.text, (long long)silent);
             cw_peer_conn_close(d->scheduler_conn);
         }
-        else if (unprobed >= PROBE_INTERVAL_MS ||
+        else if (unprobed >= (d->scheduler_denied_at == 0 ? PROBE_INTERVAL_MS
+                                                          : PROBE_DENIED_MS) ||
                  (d->forwarded != NULL && silent > SILENCE_MAX_MS / 2 &&
                   unprobed > SILENCE_MAX_MS / 4)) {
             send_probe(d, now);
--- a/packages/jobd/jobd_front.c
+++ b/packages/jobd/jobd_front.c
@@ -245,8 +245,8 @@
 bool
 cw_jobd_is_ready(const struct cw_jobd *d)
 {
-    return !d->stopping && d->config.version > 0 &&
-           (d->role == CW_ROLE_SCHEDULER || d->scheduler.len > 0);
+    return !d->stopping && d->config.version > 0 && d->scheduler.len > 0 &&
+           cw_calls_served_lately(d, cw_jobd_now(d));
 }
 
 static int
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -23,6 +23,9 @@
  * before, and after one that differed. */
 #define SCHEDULER_QUERY_INTERVAL_MS 500
 #define SCHEDULER_QUERY_SOON_MS 100
+/* For this long after the scheduler could not prove its role the store is
+ * asked soon again: the role may move. */
+#define DENIED_SOON_MS 1000
 /* The same while the connected scheduler confirms its role, only to keep the
  * group at its size; varied, so that the daemons ask at different times. */
 #define GROUP_CHECK_MS 8000
@@ -94,7 +97,7 @@
     d->scheduler.len = 0;
     d->scheduler.text[0] = '\0';
     d->scheduler_query_due = 0;
-    cw_forward_role_ended(d);
+    cw_forward_role_changed(d);
     cw_fleet_close(d);
     cw_agents_close(d);
     cw_commit_reset(d);
@@ -127,6 +130,7 @@
     cw_sched_loaded(d->sched, now);
     d->role = CW_ROLE_SCHEDULER;
     d->scheduler = d->settings.peer_listen;
+    cw_forward_role_changed(d);
     cw_log(CW_INFO, "scheduler_begin", "epoch=%llu jobs=%zu ms=%lld",
            (unsigned long long)d->epoch, d->sched->job_count,
            (long long)(now - d->role_since));
@@ -358,7 +362,8 @@
 static void
 try_next_member(struct cw_jobd *d, cw_ms now)
 {
-    if ((d->scheduler_conn_open && !d->scheduler_unproved) ||
+    if ((d->scheduler_conn_open && !d->scheduler_unproved &&
+         d->scheduler_denied_at == 0) ||
         now - d->scheduler_conn_at < MEMBER_TRY_MS) {
         return;
     }
@@ -399,7 +404,10 @@
     struct cw_jobd *d = arg;
     cw_ms now = cw_jobd_now(d);
     bool same = cw_str_eq(cw_name_str(&d->scheduler), member);
-    cw_ms wait = same ? SCHEDULER_QUERY_INTERVAL_MS : SCHEDULER_QUERY_SOON_MS;
+    bool denied_lately = d->scheduler_denied_at != 0 &&
+                         now - d->scheduler_denied_at < DENIED_SOON_MS;
+    cw_ms wait = same && !denied_lately ? SCHEDULER_QUERY_INTERVAL_MS
+                                        : SCHEDULER_QUERY_SOON_MS;
 
     d->scheduler_query_open = false;
     if (d->finished || d->role != CW_ROLE_FOLLOWER) {
@@ -444,6 +452,7 @@
         return;
     }
     d->membership_expired = expired;
+    cw_forward_role_changed(d);
     cw_log(expired ? CW_WARN : CW_INFO,
            expired ? "membership_expired" : "membership_renewed",
            "epoch=%llu generation=%llu over_ms=%lld scheduler=%d",
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -409,6 +409,9 @@
                        CW_FMT(member));
     }
     f->members[i].until = fake_now(f) + ttl_ms;
+    if (strcmp(f->members[i].name, f->lose_joins_of) == 0) {
+        a->status = CW_ERR_UNKNOWN;
+    }
     a->number = f->generation;
     a->flag = i == 0;
 }
@@ -435,6 +438,7 @@
 
     (void)timeout;
     a->u.owner = done;
+    f->owner_queries++;
     expire_members(f);
     a->number = f->member_count;
     if (f->member_count > 0) {
--- a/tests/jobs_fake.h
+++ b/tests/jobs_fake.h
@@ -60,11 +60,14 @@
     struct fake_vm vms[FAKE_VMS_MAX];
     size_t vm_count; /* 0: no VM control */
     /* Faults to inject. */
-    bool store_down;       /* calls to the store get no answer */
+    bool store_down; /* calls to the store get no answer */
+    /* Joins of this member take effect without an answer; "": none. */
+    char lose_joins_of[64];
     uint32_t lose_answers; /* this many appends take effect without answer */
     bool lose_orders;      /* VM orders get no answer, as if delayed */
     /* Observations. */
     uint64_t appends;
+    uint64_t owner_queries;
     uint64_t starts;
     uint64_t double_starts;     /* of a task that runs or has run */
     cw_ms shortest_handover_ms; /* between orders of two holders for a VM */
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -438,6 +438,58 @@
     assert_int_equal(fake.double_starts, 0);
 }
 
+static bool
+membership_expired(void *arg)
+{
+    const struct cw_jobd *d = &daemons[*(size_t *)arg];
+
+    return !cw_member_lease_valid(d, cw_jobd_now(d));
+}
+
+/* Guards against a follower that sends a call again and again to a scheduler
+ * that cannot prove its role and that the store names as the scheduler: the
+ * call waits, is refused like without a scheduler, and is sent once more when
+ * the scheduler has proved its role. */
+static void
+test_scheduler_cannot_prove_its_role(void **state)
+{
+    (void)state;
+    size_t who = 0;
+    struct state_query s = {0, "/j/0000000000000091", "succeeded"};
+    uint64_t queries;
+    uint64_t forwarded;
+    cw_ms began;
+    cw_ms until;
+    struct reply r;
+
+    assert_true(run_until(has_scheduler, &who));
+    s.to = 1 - who;
+    assert_int_equal(call(1 - who, "POST", s.path, JOB).code, 200);
+    assert_true(run_until(has_state, &s));
+    (void)snprintf(fake.lose_joins_of, sizeof(fake.lose_joins_of), "%s",
+                   daemons[who].settings.peer_listen.text);
+    assert_true(run_until(membership_expired, &who));
+    queries = fake.owner_queries;
+    forwarded = daemons[1 - who].last_stream;
+    began = (cw_ms)uv_now(&loop);
+    r = call(1 - who, "GET", s.path, "");
+    assert_int_equal(r.code, 503);
+    until = began + 2000;
+    assert_true(run_until(time_reached, &until));
+    assert_true(daemons[1 - who].last_stream - forwarded <= 2);
+    assert_in_range(fake.owner_queries - queries, 1,
+                    10 + ((cw_ms)uv_now(&loop) - began) / 100);
+    assert_int_equal(daemons[who].role, CW_ROLE_SCHEDULER);
+    assert_int_equal(call(1 - who, "GET", s.path, "").code, 503);
+    assert_int_equal(call(who, "GET", s.path, "").code, 503);
+    assert_false(cw_jobd_is_ready(&daemons[who]));
+    assert_false(cw_jobd_is_ready(&daemons[1 - who]));
+    fake.lose_joins_of[0] = '\0';
+    assert_true(run_until(all_ready, NULL));
+    assert_int_equal(call(1 - who, "GET", s.path, "").code, 200);
+    assert_int_equal(call(who, "GET", s.path, "").code, 200);
+}
+
 /* Number of VMs whose last order came from a daemon; "": without an order. */
 static size_t
 count_ordered_by(const char *holder)
@@ -513,6 +565,8 @@
         cmocka_unit_test_setup_teardown(test_handover, setup, teardown),
         cmocka_unit_test_setup_teardown(test_refused_without_scheduler, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_scheduler_cannot_prove_its_role,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_orders_after_takeover, setup_vms,
                                         teardown),
     };
