Scheduler: answer that a job does not exist only after an append

The store may reassign all partitions at once without any request. Until its next join is answered, up to 250 ms and a call later, the former scheduler's membership looks valid, and it answered 410 for a job that its successor had accepted.

Cause: the absence of a job was answered from the table alone.

Evidence: test_absence_needs_append, test_absence_after_commit_in_flight (both: the call was done before the append), test_absence_job_accepted_meanwhile (0x3 != 0) and test_absence_without_answer failed before.

Change: GET and DELETE of an unknown job wait for the open batch, which is written also when nothing has changed; the append succeeds only if no successor had set its epoch. A batch in flight does not count. Then the job is looked up again. When the append is fenced, the daemon's own calls are held for the next scheduler and forwarded ones go back, since nothing was done for them. They are refused like submissions when a commit waits longer than 0.7 s, and end at their deadline at the latest.

--- a/packages/jobd/calls.c
+++ b/packages/jobd/calls.c
@@ -171,13 +171,39 @@
     await_commit(d, c, j->state_batch);
 }
 
+/* A successor may have accepted the job while this daemon's membership still
+ * looks valid: the store assigns the role anew at any time. That no successor
+ * had begun is known once an append that is sent from now on has succeeded. */
+static void
+await_proof_of_absence(struct cw_jobd *d, struct cw_call *c)
+{
+    cw_jobd_count(d, "cuminwalk_proofs_total", "absence");
+    c->absent = true;
+    c->batch = cw_sched_request_proof(d->sched);
+    cw_calls_push(&d->committing, c);
+    cw_commit_schedule(d);
+}
+
+static void
+answer_absent(struct cw_jobd *d, struct cw_call *c)
+{
+    cw_calls_unlink(c);
+    c->absent = false;
+    if (cw_sched_find_job(d->sched, c->id) == NULL) {
+        cw_calls_complete(c, CW_RESULT_GONE, "no_job", 0);
+    }
+    else {
+        cw_calls_dispatch(d, c); /* accepted meanwhile */
+    }
+}
+
 static void
 run_cancel(struct cw_jobd *d, struct cw_call *c, cw_ms now)
 {
     struct cw_job_entry *j = cw_sched_find_job(d->sched, c->id);
 
     if (j == NULL) {
-        cw_calls_complete(c, CW_RESULT_GONE, "no_job", 0);
+        await_proof_of_absence(d, c);
         return;
     }
     (void)cw_sched_cancel(d->sched, c->id, now);
@@ -199,7 +225,7 @@
     case CW_CALL_STATUS:
         j = cw_sched_find_job(d->sched, c->id);
         if (j == NULL) {
-            cw_calls_complete(c, CW_RESULT_GONE, "no_job", 0);
+            await_proof_of_absence(d, c);
             break;
         }
         c->state = cw_job_visible_state(d->sched, j);
@@ -223,7 +249,10 @@
     while (c != NULL) {
         struct cw_call *next = c->next;
 
-        if (c->batch <= batch) {
+        if (c->batch <= batch && c->absent) {
+            answer_absent(d, c);
+        }
+        else if (c->batch <= batch) {
             cw_calls_complete(c, CW_RESULT_OK, "", 0);
         }
         c = next;
@@ -234,15 +263,29 @@
 cw_calls_abandon(struct cw_jobd *d)
 {
     while (d->committing != NULL) {
-        cw_calls_complete(d->committing, CW_RESULT_UNKNOWN,
-                          "scheduler_changed", 0);
+        struct cw_call *c = d->committing;
+
+        if (!c->absent) {
+            cw_calls_complete(c, CW_RESULT_UNKNOWN, "scheduler_changed", 0);
+        }
+        else if (c->from_peer) {
+            cw_calls_complete(c, CW_RESULT_NOT_SCHEDULER, "not_scheduler",
+                              RETRY_AFTER_MS);
+        }
+        else {
+            /* Nothing was done: the next scheduler answers it. */
+            cw_calls_unlink(c);
+            c->absent = false;
+            cw_calls_push(&d->held, c);
+        }
     }
 }
 
-/* Refuses submissions that wait behind a commit without an answer. This is
- * safe only for the open batch, none of which was sent to the store. */
+/* Refuses submissions that wait behind a commit without an answer, and calls
+ * that only wait for a proof. For submissions this is safe only in the open
+ * batch, none of which was sent to the store. */
 static void
-refuse_unsent_submissions(struct cw_jobd *d, cw_ms now)
+refuse_unsent(struct cw_jobd *d, cw_ms now)
 {
     struct cw_call *c = d->committing;
 
@@ -252,9 +295,10 @@
     while (c != NULL) {
         struct cw_call *next = c->next;
 
-        if (c->kind == CW_CALL_SUBMIT && c->batch == d->sched->batch &&
-            (cw_sched_withdraw(d->sched, c->id) ||
-             cw_sched_find_job(d->sched, c->id) == NULL)) {
+        if (c->absent ||
+            (c->kind == CW_CALL_SUBMIT && c->batch == d->sched->batch &&
+             (cw_sched_withdraw(d->sched, c->id) ||
+              cw_sched_find_job(d->sched, c->id) == NULL))) {
             cw_calls_complete(c, CW_RESULT_NOT_RUN, "store_unavailable",
                               RETRY_AFTER_MS);
         }
@@ -300,7 +344,7 @@
             cw_calls_dispatch(d, c);
         }
     }
-    refuse_unsent_submissions(d, now);
+    refuse_unsent(d, now);
     complete_expired(d->committing, now, CW_RESULT_UNKNOWN);
     complete_expired(d->forwarded, now, CW_RESULT_UNKNOWN);
 }
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -64,6 +64,7 @@
     cw_ms arrived;
     cw_ms deadline;
     uint64_t batch;  /* answered when this batch is durable */
+    bool absent;     /* then looked up again: there was no such job */
     uint64_t stream; /* identifies the forwarded call on its connection */
     bool from_peer;  /* another daemon has forwarded it */
     bool withheld;   /* came while the membership had expired; counted */
--- a/tests/test_proof_answers.c
+++ b/tests/test_proof_answers.c
@@ -257,6 +257,128 @@
     }
 }
 
+/* ---- absences ---- */
+
+/* Guards against a 410 of a scheduler whose successor has accepted the job:
+ * the store may assign the role anew while the membership still looks valid.
+ * The append that follows the call proves that there was no successor. */
+static void
+test_absence_needs_append(void **state)
+{
+    static const struct {
+        enum cw_caller_op kind;
+        bool from_peer;
+        bool changes; /* other changes are in the batch */
+        bool fenced;
+    } cases[] = {
+        {CW_CALL_STATUS, false, false, false},
+        {CW_CALL_STATUS, true, false, false},
+        {CW_CALL_STATUS, false, true, false},
+        {CW_CALL_STATUS, false, false, true},
+        {CW_CALL_STATUS, true, false, true},
+        {CW_CALL_CANCEL, false, false, false},
+        {CW_CALL_CANCEL, true, false, false},
+        {CW_CALL_CANCEL, false, true, false},
+        {CW_CALL_CANCEL, false, false, true},
+        {CW_CALL_CANCEL, true, true, true},
+    };
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct test_call *t;
+
+        restart();
+        if (cases[i].changes) {
+            (void)rig_accept(&rig, 1, false);
+        }
+        t = make_call(0, cases[i].kind, 7, cases[i].from_peer);
+        (void)make_call(1, cases[i].kind, 8, cases[i].from_peer);
+        assert_false(t->done);
+        rig_begin_commit(&rig);
+        assert_true(rig.append.open); /* one for both */
+        assert_true(rig.append_records > 0);
+        assert_false(t->done);
+        rig_answer_append(&rig, cases[i].fenced ? CW_ERR_FENCED : CW_OK);
+        if (!cases[i].fenced) {
+            assert_true(t->done && calls[1].done);
+            assert_int_equal(t->result, CW_RESULT_GONE);
+            assert_int_equal(calls[1].result, CW_RESULT_GONE);
+            assert_int_equal(rig.appends, 2); /* with that of the epoch */
+            continue;
+        }
+        /* Nothing was done here: the successor answers. */
+        assert_int_equal(t->done, cases[i].from_peer);
+        assert_true(!t->done || t->result == CW_RESULT_NOT_SCHEDULER);
+    }
+}
+
+/* Guards against an append that was sent before the call arrived and counts as
+ * its proof. */
+static void
+test_absence_after_commit_in_flight(void **state)
+{
+    struct test_call *t;
+
+    (void)state;
+    (void)rig_accept(&rig, 1, false);
+    rig_begin_commit(&rig);
+    assert_true(rig.append.open);
+    t = make_call(0, CW_CALL_STATUS, 7, false);
+    rig_answer_append(&rig, CW_OK);
+    assert_false(t->done);
+    rig_begin_commit(&rig);
+    assert_true(rig.append.open);
+    rig_answer_append(&rig, CW_OK);
+    assert_true(t->done);
+    assert_int_equal(t->result, CW_RESULT_GONE);
+}
+
+/* Guards against a 410 for a job that was accepted while the call waited. */
+static void
+test_absence_job_accepted_meanwhile(void **state)
+{
+    static const enum cw_caller_op kinds[] = {CW_CALL_STATUS, CW_CALL_CANCEL};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(kinds); i++) {
+        struct test_call *t;
+
+        restart();
+        t = make_call(0, kinds[i], 7, false);
+        (void)make_call(1, CW_CALL_SUBMIT, 7, false);
+        rig_commit(&rig, CW_OK);
+        assert_true(calls[1].done);
+        assert_int_equal(calls[1].result, CW_RESULT_OK);
+        rig_commit(&rig, CW_OK);
+        assert_true(t->done);
+        assert_int_equal(t->result, CW_RESULT_OK);
+        assert_int_equal(cw_job_ended(cw_sched_find_job(rig.d.sched, 7)),
+                         kinds[i] == CW_CALL_CANCEL);
+    }
+}
+
+/* Guards against absences that wait without end for a store that does not
+ * answer, and against a 410 for them. */
+static void
+test_absence_without_answer(void **state)
+{
+    struct test_call *t;
+
+    (void)state;
+    t = make_call(0, CW_CALL_CANCEL, 7, false);
+    rig_begin_commit(&rig);
+    rig_advance(&rig, 600);
+    rig_set_membership(&rig, 900);
+    cw_calls_tick(&rig.d, rig.clock.now);
+    assert_false(t->done);
+    rig_advance(&rig, 2400);
+    rig_set_membership(&rig, 900);
+    cw_calls_tick(&rig.d, rig.clock.now);
+    assert_true(t->done);
+    assert_true(t->result == CW_RESULT_UNKNOWN ||
+                t->result == CW_RESULT_NOT_RUN);
+}
+
 int
 main(void)
 {
@@ -269,6 +391,14 @@
         cmocka_unit_test_setup_teardown(test_readiness, setup, teardown),
         cmocka_unit_test_setup_teardown(test_repeats_await_the_batch, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_absence_needs_append, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_absence_after_commit_in_flight,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_absence_job_accepted_meanwhile,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_absence_without_answer, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
