Waves: publish an outcome only while the membership is valid

What operators could see: nothing so far; found by reading. Outcomes have no epoch at the store. A scheduler that is replaced just after it has sent one, on a connection that opens late, could write 'running' over its successor's 'succeeded'.

Cause: the call had 1 s to open its connection, however little of the membership was left. VM orders already ended with the membership.

Evidence: test_outcomes_need_membership failed before (a timeout of 0x3e8 instead of 0x190).

Change: outcomes use the timeout of VM orders, now in one function: it ends with the membership and is 0 when less than 100 ms are left; then the next tick publishes. cw_fleet_committed needs no check of its own any more, as send_order has it. An outcome that is under way in the network can still arrive late.

--- a/packages/jobd/fleet_int.h
+++ b/packages/jobd/fleet_int.h
@@ -96,6 +96,9 @@
 void cw_fleet_order_begin(struct cw_jobd *d, struct fleet_vm *v,
                           enum vm_order order, const struct cw_name *to,
                           uint64_t wave);
+/* Timeout of a call that nothing fences, at most timeout: it ends with the
+ * membership, also when its connection opens late. 0: too little is left. */
+cw_ms cw_fleet_call_timeout(const struct cw_jobd *d, cw_ms timeout);
 /* Loads a previous scheduler's order for a VM from its record. */
 void cw_fleet_order_load(struct cw_jobd *d, struct fleet_vm *v);
 /* Resends orders that got no answer and removes the records of old orders. */
--- a/packages/jobd/fleet_orders.c
+++ b/packages/jobd/fleet_orders.c
@@ -95,17 +95,26 @@
     }
 }
 
+cw_ms
+cw_fleet_call_timeout(const struct cw_jobd *d, cw_ms timeout)
+{
+    cw_ms now = cw_jobd_now(d);
+    cw_ms left = d->member_valid_until - now;
+
+    if (!cw_member_lease_valid(d, now) || left < ORDER_TIMEOUT_MIN_MS) {
+        return 0;
+    }
+    return left < timeout ? left : timeout;
+}
+
 static void
 send_order(struct cw_jobd *d, struct fleet_vm *v, cw_ms now)
 {
     struct vm_call *c;
     struct cw_str holder = cw_name_str(&d->settings.daemon);
-    cw_ms valid_ms = d->member_valid_until - cw_jobd_now(d);
-    /* VM control does not fence orders: none may be sent once the membership
-     * may have expired, also not when its connection opens late. */
-    cw_ms timeout = valid_ms < ORDER_TIMEOUT_MS ? valid_ms : ORDER_TIMEOUT_MS;
+    cw_ms timeout = cw_fleet_call_timeout(d, ORDER_TIMEOUT_MS);
 
-    if (timeout < ORDER_TIMEOUT_MIN_MS) {
+    if (timeout == 0) {
         v->retry_at = now; /* the next tick with a valid membership sends it */
         return;
     }
@@ -184,13 +193,7 @@
             continue;
         }
         v->record_batch = 0;
-        if (cw_member_lease_valid(d, now)) {
-            send_order(d, v, now);
-        }
-        else {
-            /* The next tick with a valid membership sends it. */
-            v->retry_at = now;
-        }
+        send_order(d, v, now);
     }
 }
 
--- a/packages/jobd/fleet_waves.c
+++ b/packages/jobd/fleet_waves.c
@@ -191,14 +191,21 @@
     free(c);
 }
 
-static void
+/* False when too little of the membership is left: the outcomes have no epoch,
+ * and a replaced scheduler would write over its successor's. */
+static bool
 publish_outcome(struct cw_jobd *d, uint64_t number, bool done)
 {
-    struct publish_ctx *c = malloc(sizeof(*c));
+    cw_ms timeout = cw_fleet_call_timeout(d, ORDER_TIMEOUT_MS);
+    struct publish_ctx *c;
     struct cw_store_batch b = {0};
     struct cw_buf key;
     struct cw_buf value;
 
+    if (timeout == 0) {
+        return false;
+    }
+    c = malloc(sizeof(*c));
     CW_INVARIANT(c != NULL);
     *c = (struct publish_ctx){cw_term_ctx_new(d), number, done};
     cw_buf_init(&key);
@@ -207,11 +214,11 @@
     d->ports.encode_wave_outcome(number, done, &key, &value);
     d->ports.store.batch_add(d->ports.ctx, &b, cw_buf_str(&key),
                              cw_buf_str(&value));
-    d->ports.store.publish(d->ports.ctx, &b, ORDER_TIMEOUT_MS, on_published,
-                           c);
+    d->ports.store.publish(d->ports.ctx, &b, timeout, on_published, c);
     cw_buf_finish(&key);
     cw_buf_finish(&value);
     cw_buf_finish(&b.bytes);
+    return true;
 }
 
 void
@@ -249,12 +256,10 @@
         }
     }
     if (cw_maint_done(views, w->vm_count)) {
-        r->finished = true;
-        publish_outcome(d, w->number, true);
+        r->finished = publish_outcome(d, w->number, true);
     }
     else if (!r->published) {
-        r->published = true;
-        publish_outcome(d, w->number, false);
+        r->published = publish_outcome(d, w->number, false);
     }
     free(views);
     free(vms);
--- a/tests/test_proof.c
+++ b/tests/test_proof.c
@@ -4,10 +4,12 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
 
+#include "fleet_int.h"
 #include "jobd_rig.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -322,6 +324,41 @@
     assert_false(cw_member_lease_valid(&rig.d, rig.clock.now));
 }
 
+/* ---- outcomes of waves ---- */
+
+/* Guards against a replaced scheduler that publishes over the outcome of its
+ * successor, also when the connection opens late: outcomes have no epoch. */
+static void
+test_outcomes_need_membership(void **state)
+{
+    static const struct {
+        cw_ms left;
+        cw_ms timeout; /* 0: not published */
+    } cases[] = {{1000, 1000}, {400, 400}, {100, 100}, {50, 0}, {-500, 0}};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_jobd *d = &rig.d;
+        struct cw_name vm;
+
+        restart();
+        (void)cw_name_set(&vm, CW_LIT("m-1"));
+        d->waves = calloc(1, sizeof(*d->waves));
+        d->waves[0] = (struct cw_wave_order){7, &vm, 1, 1000, 1};
+        d->wave_count = 1;
+        (void)cw_fleet_vm_get(d, &vm);
+        cw_fleet_waves_sync(d, rig.clock.now);
+        rig_set_membership(&rig, cases[i].left);
+        cw_fleet_wave_run(d, 0, rig.clock.now);
+        assert_int_equal(rig.publish_count, cases[i].timeout > 0);
+        assert_int_equal(rig.publish_timeout, cases[i].timeout);
+        assert_int_equal(d->fleet->waves[0].published, cases[i].timeout > 0);
+        free(d->waves);
+        d->waves = NULL;
+        d->wave_count = 0;
+    }
+}
+
 int
 main(void)
 {
@@ -338,6 +375,8 @@
         cmocka_unit_test_setup_teardown(test_gap_old_append, setup, teardown),
         cmocka_unit_test_setup_teardown(test_no_gap_no_append, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_outcomes_need_membership, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
