--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -23,6 +23,9 @@
  * before, and after one that differed. */
 #define SCHEDULER_QUERY_INTERVAL_MS 500
 #define SCHEDULER_QUERY_SOON_MS 100
+/* For this long after the scheduler could not prove its role the store is
+ * asked soon again: the role may move. */
+#define DENIED_SOON_MS 1000
 /* The same while the connected scheduler confirms its role, only to keep the
  * group at its size; varied, so that the daemons ask at different times. */
 #define GROUP_CHECK_MS 8000
@@ -45,14 +48,40 @@
 bool
 cw_member_lease_valid(const struct cw_jobd *d, cw_ms now)
 {
-    return d->role == CW_ROLE_SCHEDULER && now < d->member_valid_until;
+    return d->role == CW_ROLE_SCHEDULER && !d->proof_due &&
+           now < d->member_valid_until;
+}
+
+cw_ms
+cw_member_renewals_left(const struct cw_jobd *d, cw_ms now)
+{
+    cw_ms left = d->member_valid_until - now + CW_RENEWAL_GRACE_MS;
+
+    return d->role == CW_ROLE_SCHEDULER && !d->proof_due && left > 0 ? left
+                                                                     : 0;
+}
+
+static void
+require_proof(struct cw_jobd *d)
+{
+    d->proof_due = true;
+    if (d->role == CW_ROLE_SCHEDULER) {
+        /* Not a batch in flight: the store answers a repeat of it as it did
+         * before the gap. */
+        d->proof_batch = cw_sched_request_proof(d->sched);
+        cw_jobd_count(d, "cuminwalk_proofs_total", "gap");
+        cw_commit_schedule(d);
+    }
 }
 
 void
-cw_member_count_unproved(struct cw_jobd *d, const char *kind)
+cw_member_committed(struct cw_jobd *d, uint64_t batch)
 {
-    if (!cw_member_lease_valid(d, cw_jobd_now(d))) {
-        cw_jobd_count(d, "cuminwalk_unproved_total", kind);
+    if (d->proof_due && d->proof_batch != 0 && batch >= d->proof_batch) {
+        d->proof_due = false;
+        cw_log(CW_INFO, "role_proved", "epoch=%llu generation=%llu",
+               (unsigned long long)d->epoch,
+               (unsigned long long)d->generation);
     }
 }
 
@@ -67,10 +96,12 @@
            (long long)(cw_jobd_now(d) - d->role_since));
     d->term++;
     d->role = CW_ROLE_FOLLOWER;
+    d->proof_due = false;
+    d->proof_batch = 0;
     d->scheduler.len = 0;
     d->scheduler.text[0] = '\0';
     d->scheduler_query_due = 0;
-    cw_forward_role_ended(d);
+    cw_forward_role_changed(d);
     cw_fleet_close(d);
     cw_agents_close(d);
     cw_commit_reset(d);
@@ -103,6 +134,7 @@
     cw_sched_loaded(d->sched, now);
     d->role = CW_ROLE_SCHEDULER;
     d->scheduler = d->settings.peer_listen;
+    cw_forward_role_changed(d);
     cw_log(CW_INFO, "scheduler_begin", "epoch=%llu jobs=%zu ms=%lld",
            (unsigned long long)d->epoch, d->sched->job_count,
            (long long)(now - d->role_since));
@@ -112,6 +144,9 @@
     cw_watch_operators_again(d);
     cw_watch_workers(d, now);
     cw_commit_schedule(d);
+    if (d->proof_due) {
+        require_proof(d);
+    }
 }
 
 static void
@@ -121,6 +156,7 @@
         .status_ms = d->settings.status_ms,
         .lease_ms = d->settings.lease_ms,
         .max_hold_ms = d->settings.max_hold_ms,
+        .renewals_ms = d->settings.member_ttl_ms + CW_RENEWAL_GRACE_MS,
     };
 
     cw_sched_init(d->sched, &limits, &cw_agent_ops, d);
@@ -335,6 +371,7 @@
     struct join_ctx call = *(struct join_ctx *)arg;
     struct cw_jobd *d = call.d;
     cw_ms now = cw_jobd_now(d);
+    bool expired = now >= d->member_valid_until;
 
     free(arg);
     if (d->finished) {
@@ -364,6 +401,9 @@
     else if (d->role == CW_ROLE_FOLLOWER) {
         start_takeover(d, now);
     }
+    else if (expired && now < d->member_valid_until) {
+        require_proof(d);
+    }
 }
 
 static void
@@ -430,7 +470,8 @@
 static void
 try_next_member(struct cw_jobd *d, cw_ms now)
 {
-    if ((d->scheduler_conn_open && !d->scheduler_unproved) ||
+    if ((d->scheduler_conn_open && !d->scheduler_unproved &&
+         d->scheduler_denied_at == 0) ||
         now - d->scheduler_conn_at < MEMBER_TRY_MS) {
         return;
     }
@@ -471,7 +512,10 @@
     struct cw_jobd *d = arg;
     cw_ms now = cw_jobd_now(d);
     bool same = cw_str_eq(cw_name_str(&d->scheduler), member);
-    cw_ms wait = same ? SCHEDULER_QUERY_INTERVAL_MS : SCHEDULER_QUERY_SOON_MS;
+    bool denied_lately = d->scheduler_denied_at != 0 &&
+                         now - d->scheduler_denied_at < DENIED_SOON_MS;
+    cw_ms wait = same && !denied_lately ? SCHEDULER_QUERY_INTERVAL_MS
+                                        : SCHEDULER_QUERY_SOON_MS;
 
     d->scheduler_query_open = false;
     if (d->finished || d->role != CW_ROLE_FOLLOWER) {
@@ -516,6 +560,7 @@
         return;
     }
     d->membership_expired = expired;
+    cw_forward_role_changed(d);
     cw_log(expired ? CW_WARN : CW_INFO,
            expired ? "membership_expired" : "membership_renewed",
            "epoch=%llu generation=%llu over_ms=%lld scheduler=%d",
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -340,6 +340,9 @@
     cw_ms status_ms;   /* how long ended jobs are kept */
     cw_ms lease_ms;    /* length of a worker's lease */
     cw_ms max_hold_ms; /* a worker shortens longer ones to this */
+    /* A previous scheduler may renew leases for this long after the role was
+     * assigned to this one. */
+    cw_ms renewals_ms;
 };
 
 /* A key-value pair in the scheduler's stream, kept across takeovers. */
@@ -378,6 +381,7 @@
     uint64_t committed; /* batches up to here are durable */
     cw_ms wall_offset;  /* wall time minus monotonic */
     bool plan_due;      /* of at least one pool */
+    bool proof_due;     /* the open batch is written also without a change */
 };
 
 void cw_sched_init(struct cw_sched *s, const struct cw_sched_limits *limits,
@@ -444,6 +448,10 @@
                         void (*put)(void *arg, struct cw_str key,
                                     struct cw_str value),
                         void *arg);
+/* Has the open batch written also when nothing changes, and returns its
+ * number. When its append succeeds, no other scheduler had begun until then:
+ * its epoch would have fenced the append. */
+uint64_t cw_sched_request_proof(struct cw_sched *s);
 /* Loads a record that a previous scheduler wrote. A job's spec must be loaded
  * before its progress. A claim is accepted and changes nothing. */
 enum cw_status cw_sched_load(struct cw_sched *s, struct cw_str key,
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -6,9 +6,6 @@
 /* Delay of the worker's own timer, added to the time after which a lease has
  * certainly lapsed. */
 #define LAPSE_MARGIN_MS 250
-/* A previous scheduler may go on renewing leases until its membership of the
- * group expires. */
-#define PREVIOUS_SCHEDULER_MS 1500
 /* A start may reach the worker until its call has ended. */
 #define START_ARRIVAL_MS 500
 /* A worker's answer may be under way this long. */
@@ -110,7 +107,7 @@
 void
 cw_sched_loaded(struct cw_sched *s, cw_ms now)
 {
-    cw_ms lapse = now + longest(s->limits.lease_ms) + PREVIOUS_SCHEDULER_MS;
+    cw_ms lapse = now + longest(s->limits.lease_ms) + s->limits.renewals_ms;
 
     for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
         for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
