Jobs: count the lease of a run from its plan on

Callers saw late starts: a task on a worker that had been idle for over 5 s got run number after run number and was not sent, while appends took longer than a pass over the leases; a member of a gang could stay behind alone.

Cause: a worker without runs is not polled and keeps the lapse of its last lease. The next pass over the leases gave up a planned run as lapsed before its start was committed and sent.

Change: planning a start moves the lapse to a whole lease from then on. Nothing is granted by it, so that only the give-up comes later.

--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -66,4 +66,9 @@
 void cw_task_place(struct cw_task *t, struct cw_worker *w);
 void cw_task_unplace(struct cw_sched *s, struct cw_task *t, cw_ms now);
 
+/* A start is planned: its run counts from now on, as a worker without runs
+ * keeps the lapse of its last lease. */
+void cw_worker_lease_planned(struct cw_sched *s, struct cw_worker *w,
+                             cw_ms now);
+
 #endif
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -117,6 +117,12 @@
     }
 }
 
+void
+cw_worker_lease_planned(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+{
+    lapses_not_before(w, now + longest(s->limits.lease_ms));
+}
+
 void
 cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now)
 {
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -318,6 +318,7 @@
     t->state_since = now;
     t->order_batch = s->batch;
     t->proved = false;
+    cw_worker_lease_planned(s, w, now);
     cw_task_place(t, w);
     cw_worker_health_task_assigned(&w->health);
     t->unsent_next = s->unsent;
