Jobs: keep the room of a run that is stopped after a late end

Callers would see LIMIT: a run that a late `done` of an earlier run makes superfluous was told to stop, and its room was given to another task at once, though a run that is being stopped still counts.

Cause: its task ends with the late end, and an ended task holds no room.

Evidence: found by the review of the joined code; test_stopped_run_keeps_its_room failed ("0x3 != 0x2" starts).

Change: no start is planned on that worker for a second. Not covered: a stop that gets no answer is not repeated; the run then ends with its work or its lease.

--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -9,6 +9,9 @@
 /* Pause after a refused start; doubles with each further refusal. */
 #define REFUSAL_PAUSE_MS 100
 #define REFUSAL_PAUSE_MAX_MS 3200
+/* No starts on a worker for this time after a stop whose end is not awaited: a
+ * stop takes some hundred ms, and its call may have to be repeated. */
+#define STOP_PAUSE_MS 1000
 /* Failures in a row, of several jobs, that quarantine a worker, and the first
  * wait before one task is tried there again. */
 #define QUARANTINE_FAILURES 3
@@ -195,6 +198,10 @@
         return;
     }
     s->ops->stop(s->ctx, t->worker, &row);
+    /* It needs its room until it has stopped. */
+    if (t->worker->retry_at < now + STOP_PAUSE_MS) {
+        t->worker->retry_at = now + STOP_PAUSE_MS;
+    }
     cw_task_requeue(s, t, CW_LOSS_ENDED, now);
 }
 
--- a/tests/test_jobs_late.c
+++ b/tests/test_jobs_late.c
@@ -153,6 +153,40 @@
     }
 }
 
+/* LIMIT: the room of a run that is being stopped, as an earlier run of its
+ * task ended done, was given to another task at once. */
+static void
+test_stopped_run_keeps_its_room(void **state)
+{
+    (void)state;
+    struct cw_job_spec s = jobs_spec(7, 1, 1000);
+    struct cw_job_spec next = jobs_spec(8, 1, 1000);
+    struct cw_worker *w = jobs_add_worker(&f, "w1", "v1", 1000);
+    struct cw_run_row row;
+
+    jobs_accept(&f, &s);
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    row = f.ops[0].row;
+    f.now += 20000;
+    cw_sched_expire_leases(&f.s, f.now);
+    w->cordoned = true;
+    jobs_add_worker(&f, "w2", "v2", 1000);
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 1);
+    jobs_accept(&f, &next);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 2);
+    jobs_report_end(&f, w, 1, row, CW_END_DONE);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 'x'), 1);
+    assert_int_equal(jobs_count_ops(&f, 's'), 2);
+    f.now += 1000;
+    cw_sched_wake_pools(&f.s, f.now);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 3);
+}
+
 int
 main(void)
 {
@@ -160,6 +194,8 @@
         cmocka_unit_test_setup_teardown(test_late_done, setup, teardown),
         cmocka_unit_test_setup_teardown(test_done_after_cancel, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_stopped_run_keeps_its_room, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
