Scheduler: prove the role also after two changes of the group at once

Callers could see stale answers and orders: when the role goes to another daemon and comes back between two answered joins, the first one's membership never looked expired, and it went on with its old table until its next append.

Cause: only an expired membership called for a proof.

After a single one that leaves the role here it was here all the time; after two or more the daemon acts only once an append under its epoch has succeeded.

--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -372,6 +372,8 @@
     struct cw_jobd *d = call.d;
     cw_ms now = cw_jobd_now(d);
     bool expired = now >= d->member_valid_until;
+    /* After one change that leaves the role here it was here all the time. */
+    bool held = generation <= d->generation + 1;
 
     free(arg);
     if (d->finished) {
@@ -401,7 +403,7 @@
     else if (d->role == CW_ROLE_FOLLOWER) {
         start_takeover(d, now);
     }
-    else if (expired && now < d->member_valid_until) {
+    else if ((expired || !held) && now < d->member_valid_until) {
         require_proof(d);
     }
 }
--- a/tests/test_proof.c
+++ b/tests/test_proof.c
@@ -301,6 +301,33 @@
     assert_true(cw_member_lease_valid(&rig.d, rig.clock.now));
 }
 
+/* Guards against a scheduler that goes on after the role went to another
+ * daemon and came back between two of its joins: the generation shows two
+ * changes. */
+static void
+test_unseen_holder_needs_append(void **state)
+{
+    static const struct {
+        uint64_t generation; /* 1 before */
+        bool append;
+    } cases[] = {{1, false}, {2, false}, {3, true}, {9, true}};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        restart();
+        (void)rig_run_task(&rig, 1);
+        rig_join(&rig, cases[i].generation, true);
+        rig_begin_commit(&rig);
+        assert_int_equal(rig.append.open, cases[i].append);
+        assert_int_equal(cw_member_lease_valid(&rig.d, rig.clock.now),
+                         !cases[i].append);
+        if (cases[i].append) {
+            rig_answer_append(&rig, CW_ERR_FENCED);
+            assert_int_equal(rig.d.role, CW_ROLE_FOLLOWER);
+        }
+    }
+}
+
 /* Guards against priced appends without need: a membership that is renewed in
  * time needs no proof, also when the group has changed, nor does an answer
  * that comes too late to make it valid. */
@@ -375,6 +402,8 @@
         cmocka_unit_test_setup_teardown(test_gap_old_append, setup, teardown),
         cmocka_unit_test_setup_teardown(test_no_gap_no_append, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_unseen_holder_needs_append, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_outcomes_need_membership, setup,
                                         teardown),
     };
