Upstream: leave the end of the client to h2o inside its callback

A request that was given up while its body was still being written, inside the callback for the response's body, cancelled h2o's client there; the callback then used it, and so did h2o.

--- a/packages/daemon/upstream.c
+++ b/packages/daemon/upstream.c
@@ -99,9 +99,12 @@
     h2o_http1client_t *client = u->client;
 
     if (h2o_socket_is_writing(client->sock)) {
-        /* The write uses memory of the request, which may be freed now. */
+        /* The write uses memory of the request, which may be freed now. Inside
+         * on_body, h2o ends the client when that returns. */
         u->client = NULL;
-        h2o_http1client_cancel(client);
+        if (!u->in_body) {
+            h2o_http1client_cancel(client);
+        }
         return;
     }
     client->sockpool.pool = NULL; /* so that it is not used again */
@@ -179,11 +182,11 @@
     }
     u->in_body = true;
     cw_request_send_body(u->r, (*in)->bytes, (*in)->size);
-    u->in_body = false;
     h2o_buffer_consume(in, (*in)->size);
     if (u->r == NULL) {
         upstream_give_up(u, CW_TRY_CALLER_GONE);
     }
+    u->in_body = false;
 }
 
 static int
@@ -195,6 +198,9 @@
     u->progress_at = cw_daemon_now(u->d);
     if ((*in)->size > 0) {
         consume_body(u, in);
+        if (u->client == NULL) {
+            return -1;
+        }
     }
     if (err != NULL) {
         bool complete = err == h2o_http1client_error_is_eos;
