--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -283,7 +283,8 @@
 void cw_member_leave(struct cw_jobd *d);
 /* Ends the scheduler role of this daemon. */
 void cw_member_step_down(struct cw_jobd *d, const char *why);
-/* A batch is durable: no other daemon had scheduled until then. */
+/* A batch is durable: no other daemon had scheduled until then, as its claim
+ * of a higher epoch would have fenced the append. */
 void cw_member_committed(struct cw_jobd *d, uint64_t batch);
 /* This daemon is the scheduler and its membership cannot have expired, so that
  * it may send orders and answer from its table. */
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -230,9 +230,12 @@
 static void
 log_run_given_up(const struct cw_task *t, enum cw_run_loss why, cw_ms now)
 {
-    static const char *const reasons[] = {"ended",       "unsent", "refused",
-                                          "unlisted",    "lapsed", "replaced",
-                                          "other_worker"};
+    static const char *const reasons[] = {
+        [CW_LOSS_ENDED] = "ended",        [CW_LOSS_UNSENT] = "unsent",
+        [CW_LOSS_REFUSED] = "refused",    [CW_LOSS_UNLISTED] = "unlisted",
+        [CW_LOSS_LAPSED] = "lapsed",      [CW_LOSS_REPLACED] = "replaced",
+        [CW_LOSS_OTHER] = "other_worker",
+    };
     static const char *const states[] = {"waiting", "starting", "running",
                                          "stopping", "done"};
     const struct cw_worker *w = t->worker;
