Jobs: count the longest lease after a takeover until an incarnation is proved

What callers would see: a task that runs twice (TWICE). A worker restarts under its id, the scheduler sends it a start before it notices, and is then replaced, while the worker is cut off from the next scheduler.

Cause: that start carries the end of its lease on the former clock, far ahead on the new one, and the worker shortens it to max_hold_ms. A takeover counted on lease_ms for every recorded run, unless the list showed a young incarnation. The list lacks a worker that the store can't hear, and may show an entry from before the restart.

Change: recorded runs are not proved after a takeover. They lapse after max_hold_ms, counted from the end of the former scheduler's renewals, until a report lists them, or until an entry that was written after the takeover shows an incarnation that is older than the longest lease. A worker in touch does either within its heartbeat, so that only tasks on silent workers wait longer.

--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -249,6 +249,7 @@
                cw_quoted(key, r->key), d->msg);
         return;
     }
+    e.current = d->workers_loaded;
     w = cw_sched_worker_listed(d->sched, &e, now);
     if (w != NULL) {
         w->listed_at = now;
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -311,6 +311,7 @@
     struct cw_resources capacity;
     int64_t born_wall;
     bool draining;
+    bool current; /* it was written after this scheduler had begun */
 };
 
 /* A worker's answer to a start. */
@@ -458,7 +459,8 @@
 enum cw_status cw_sched_load(struct cw_sched *s, struct cw_str key,
                              struct cw_str value, cw_ms now);
 /* Call after the last record. The runs of recorded starts count as alive until
- * the longest lease has lapsed. */
+ * the longest lease has lapsed; which one that is depends on whether a report
+ * or a current entry shows the incarnation that the starts have reached. */
 void cw_sched_loaded(struct cw_sched *s, cw_ms now);
 
 /* ---- jobs_kv.c ---- */
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -55,6 +55,9 @@
  * reported; that report decides on the runs. */
 void cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
                                int64_t born, cw_ms now);
+/* The listed incarnation lives. When it began long ago, the previous scheduler
+ * knew it, and the leases of its starts are proved. */
+void cw_worker_seen_alive(struct cw_sched *s, struct cw_worker *w, cw_ms now);
 /* The run is over: the task waits again. */
 void cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
                   cw_ms now);
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -80,6 +80,19 @@
     w->born_wall = born;
 }
 
+void
+cw_worker_seen_alive(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+{
+    cw_ms age = now + s->wall_offset - w->born_wall;
+
+    if (w->born_wall == 0 || age < longest_unproved(s) + WALL_SKEW_MS) {
+        return;
+    }
+    for (struct cw_task *t = w->tasks; t != NULL; t = t->next) {
+        t->proved |= t->order_batch == 0;
+    }
+}
+
 /* ---- leases ---- */
 
 int64_t
@@ -107,11 +120,14 @@
 void
 cw_sched_loaded(struct cw_sched *s, cw_ms now)
 {
-    cw_ms lapse = now + longest(s->limits.lease_ms) + s->limits.renewals_ms;
+    cw_ms ends = now + s->limits.renewals_ms;
 
     for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
         for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
-            w->lapse_at = lapse;
+            w->lapse_at = ends + longest(s->limits.lease_ms);
+            /* The previous scheduler's last starts may have reached an
+             * incarnation that it did not know of. */
+            w->unproved_lapse_at = ends + longest_unproved(s);
         }
         cw_pool_plan_soon(s, p);
     }
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -334,7 +334,7 @@
         cw_task_place(t, w);
         cw_task_set_state(t, (enum cw_run_state)r->state);
         t->order_batch = 0;
-        t->proved = true; /* cw_sched_loaded counts its lease */
+        t->proved = false;
     }
 }
 
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -424,6 +424,9 @@
     if (e->born_wall > w->born_wall) {
         cw_worker_new_incarnation(s, w, e->born_wall, now);
     }
+    if (e->current && e->born_wall == w->born_wall) {
+        cw_worker_seen_alive(s, w, now);
+    }
     copy_entry(s, w, e);
     if (w->state != state) {
         cw_log(CW_INFO, "worker_state", "worker=%s service=%s vm=%s state=%s",
--- a/tests/jobs_util.c
+++ b/tests/jobs_util.c
@@ -251,9 +251,10 @@
 jobs_take_over(struct jobs_fixture *f)
 {
     cw_ms wall = f->s.wall_offset;
+    struct cw_sched_limits kept = f->s.limits;
 
     cw_sched_finish(&f->s);
-    cw_sched_init(&f->s, &limits, &ops, f);
+    cw_sched_init(&f->s, &kept, &ops, f);
     f->s.wall_offset = wall;
     f->op_count = 0;
     /* The store returns records in the order of their keys. */
--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -33,7 +33,7 @@
 static struct cw_worker *
 list_worker(const char *id, int64_t born)
 {
-    struct cw_worker_entry e = {.born_wall = born};
+    struct cw_worker_entry e = {.born_wall = born, .current = true};
 
     (void)cw_name_set(&e.id, cw_str_from(id));
     (void)cw_name_set(&e.vm, cw_str_from(id));
@@ -312,6 +312,55 @@
     }
 }
 
+/* TWICE: a takeover counted lease_ms for a worker that the list lacked, or
+ * showed by an entry from before its restart, although a start of the former
+ * scheduler to the restarted worker holds for max_hold_ms. */
+static void
+test_lease_of_an_unknown_worker(void **state)
+{
+    (void)state;
+    enum proof { NONE, OLD_ENTRY, CURRENT_ENTRY, YOUNG_ENTRY, LISTING };
+    static const struct {
+        enum proof proof;
+        bool longest;
+    } cases[] = {{NONE, true},
+                 {OLD_ENTRY, true},
+                 {YOUNG_ENTRY, true},
+                 {CURRENT_ENTRY, false},
+                 {LISTING, false}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_worker_entry e = {.born_wall = 1000};
+        struct cw_job_spec s = jobs_spec(7, 1, 1000);
+        struct cw_run_row row;
+        cw_ms ms;
+
+        f.s.limits.max_hold_ms = MAX_HOLD_MS;
+        (void)cw_name_set(&e.id, CW_LIT("w1"));
+        (void)cw_name_set(&e.service, CW_LIT(JOBS_SERVICE));
+        report(list_worker("w1", 1000), 1000, 0, NULL);
+        jobs_accept(&f, &s);
+        jobs_commit(&f);
+        row = cw_task_row(only_task());
+        jobs_take_over(&f);
+        e.current = cases[i].proof != OLD_ENTRY;
+        if (cases[i].proof == YOUNG_ENTRY) {
+            e.born_wall = f.now + f.s.wall_offset - 1000;
+        }
+        if (cases[i].proof != NONE) {
+            assert_non_null(cw_sched_worker_listed(&f.s, &e, f.now));
+        }
+        if (cases[i].proof == LISTING) {
+            report(only_task()->worker, 1000, 0, &row);
+        }
+        ms = time_to_lapse();
+        assert_int_equal(ms >= MAX_HOLD_MS, cases[i].longest);
+        assert_true(ms >= JOBS_LEASE_MS + f.s.limits.renewals_ms);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
 int
 main(void)
 {
@@ -326,6 +375,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_lease_after_takeover, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_lease_of_an_unknown_worker, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
