Jobs: keep tasks off a worker while it has runs of no known task

What callers would see: a worker that takes more than its capacity (LIMIT where workers don't guard it; elsewhere a refused start and a later task).

Cause: after a takeover a worker may still run tasks of jobs that have ended, or whose records are gone. The scheduler told them to stop and placed tasks in their room at once, as used counts placed tasks only. A worker without tasks was not asked again, so that a lost stop was not repeated either.

Change: such a worker gets no starts and is asked for reports until one lists no such run; each report that still lists one sends its stop again. Such runs get no renewal while the worker has no tasks.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -143,7 +143,8 @@
     if (w->state == CW_WORKER_GONE && w->tasks == NULL) {
         return false;
     }
-    return !w->contacted || w->tasks != NULL || w->acked > a->acked_sent;
+    return !w->contacted || w->tasks != NULL || w->has_strays ||
+           w->acked > a->acked_sent;
 }
 
 /* The long-poll time, with which the last renewal goes out shortly before
@@ -165,7 +166,8 @@
     struct cw_jobd *d = a->d;
     struct cw_worker *w = a->worker;
     cw_ms renewals = cw_member_renewals_left(d, cw_jobd_now(d));
-    cw_ms wait = w->contacted && w->tasks != NULL ? report_wait(renewals) : 0;
+    bool busy = w->tasks != NULL || w->has_strays;
+    cw_ms wait = w->contacted && busy ? report_wait(renewals) : 0;
     int64_t until = 0;
 
     if (w->tasks != NULL && renewals > 0) {
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -209,6 +209,8 @@
     bool cordoned;  /* accepts no new tasks before maintenance or a move */
     bool reserved;  /* within one plan: kept free for a waiting task */
     bool contacted; /* has reported since this scheduler began */
+    bool has_strays; /* its last report lists runs of no known task, which
+                      * take room that is not in used */
     cw_ms seen_at;  /* last report */
     cw_ms gone_at;
     cw_ms listed_at;        /* its entry was last in the list of workers */
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -142,7 +142,7 @@
 accepts_tasks(const struct cw_worker *w, cw_ms now)
 {
     return w->state == CW_WORKER_READY && !w->cordoned && w->contacted &&
-           w->clock_at != 0 && now >= w->retry_at &&
+           !w->has_strays && w->clock_at != 0 && now >= w->retry_at &&
            cw_worker_health_usable(&w->health, now);
 }
 
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -294,6 +294,7 @@
                "job=%016llx task=%u.%u.%u run=%u worker=%s known_run=%u",
                (unsigned long long)r->job, r->occurrence, r->step, r->index,
                r->run, w->id.text, t == NULL ? 0 : t->run);
+        w->has_strays = true;
         s->ops->stop(s->ctx, w, r);
         return;
     }
@@ -348,6 +349,22 @@
     }
 }
 
+/* Applies the runs at work. Their room is known only from a full list. */
+static void
+apply_all_running(struct cw_sched *s, struct cw_worker *w,
+                  const struct cw_run_report *r, cw_ms now)
+{
+    bool had_strays = w->has_strays;
+
+    w->has_strays = had_strays && r->partial;
+    for (size_t i = 0; i < r->running_count; i++) {
+        apply_running(s, w, &r->running[i], now);
+    }
+    if (had_strays && !w->has_strays) {
+        cw_pool_plan_soon(s, w->pool);
+    }
+}
+
 void
 cw_sched_report(struct cw_sched *s, struct cw_worker *w,
                 const struct cw_run_report *r, cw_ms now)
@@ -377,9 +394,7 @@
             cw_worker_await_ack(s, w);
         }
     }
-    for (size_t i = 0; i < r->running_count; i++) {
-        apply_running(s, w, &r->running[i], now);
-    }
+    apply_all_running(s, w, r, now);
     if (r->ended_count < ENDS_LISTED_MAX && !r->partial) {
         drop_unlisted(s, w, r, now);
     }
--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -206,12 +206,12 @@
     struct rig *r = c->rig;
 
     (void)epoch;
-    (void)acked;
     (void)timeout;
     CW_INVARIANT(!r->report.open);
     r->report = (struct rig_call){true, arg, {.report = done}};
     r->report_count++;
     r->report_until = until_ms;
+    r->report_acked = acked;
     r->report_wait = wait_ms;
 }
 
@@ -385,6 +385,16 @@
     }
 }
 
+void
+rig_answer_report(struct rig *r, struct cw_run_report *rep)
+{
+    struct rig_call c = r->report;
+
+    CW_INVARIANT(c.open);
+    r->report.open = false;
+    c.u.report(c.arg, CW_OK, rep);
+}
+
 void
 rig_report(struct rig *r, const struct cw_run_row *rows, size_t n)
 {
@@ -392,11 +402,8 @@
                                 .clock_ms = r->clock.now,
                                 .running = rows,
                                 .running_count = n};
-    struct rig_call c = r->report;
 
-    CW_INVARIANT(c.open);
-    r->report.open = false;
-    c.u.report(c.arg, CW_OK, &rep);
+    rig_answer_report(r, &rep);
 }
 
 void
--- a/tests/jobd_rig.h
+++ b/tests/jobd_rig.h
@@ -59,6 +59,7 @@
     uint32_t report_count;
     uint32_t publish_count;
     int64_t report_until; /* of the last call for a report */
+    uint64_t report_acked;
     cw_ms report_wait;
 };
 
@@ -82,6 +83,8 @@
 void rig_answer_orders(struct rig *r);
 /* Answers the open call for a report, which lists these runs. */
 void rig_report(struct rig *r, const struct cw_run_row *rows, size_t n);
+/* Answers it with this report. */
+void rig_answer_report(struct rig *r, struct cw_run_report *rep);
 /* Sets the end of the membership relative to now. */
 void rig_set_membership(struct rig *r, cw_ms left);
 /* Accepts a job of one task, lasting or not, without a commit. */
--- a/tests/jobs_util.c
+++ b/tests/jobs_util.c
@@ -123,18 +123,25 @@
 }
 
 struct cw_worker *
-jobs_add_worker(struct jobs_fixture *f, const char *id, const char *vm,
-                uint32_t cpu)
+jobs_list_worker(struct jobs_fixture *f, const char *id, const char *vm,
+                 uint32_t cpu)
 {
     struct cw_worker_entry e = {.born_wall = f->now};
-    struct cw_worker *w;
 
     (void)cw_name_set(&e.id, cw_str_from(id));
     (void)cw_name_set(&e.vm, cw_str_from(vm));
     (void)cw_name_set(&e.service, CW_LIT(JOBS_SERVICE));
     (void)cw_name_set(&e.address, CW_LIT("10.0.0.1:80"));
     e.capacity = (struct cw_resources){cpu, 100000, 0};
-    w = cw_sched_worker_listed(&f->s, &e, f->now);
+    return cw_sched_worker_listed(&f->s, &e, f->now);
+}
+
+struct cw_worker *
+jobs_add_worker(struct jobs_fixture *f, const char *id, const char *vm,
+                uint32_t cpu)
+{
+    struct cw_worker *w = jobs_list_worker(f, id, vm, cpu);
+
     if (w != NULL) {
         send_report(f, w, NULL, 0, NULL, 0);
     }
@@ -247,6 +254,14 @@
     return strcmp(a, b);
 }
 
+void
+jobs_drop_records(struct jobs_fixture *f)
+{
+    for (size_t i = 0; i < f->stored_count; i++) {
+        f->stored[i].len = 0;
+    }
+}
+
 void
 jobs_take_over(struct jobs_fixture *f)
 {
--- a/tests/jobs_util.h
+++ b/tests/jobs_util.h
@@ -41,6 +41,9 @@
                                    uint32_t cpu);
 struct cw_job_entry *jobs_accept(struct jobs_fixture *f,
                                  struct cw_job_spec *spec);
+/* Adds a worker that has not reported. */
+struct cw_worker *jobs_list_worker(struct jobs_fixture *f, const char *id,
+                                   const char *vm, uint32_t cpu);
 /* Adds a worker that has reported and runs nothing. */
 struct cw_worker *jobs_add_worker(struct jobs_fixture *f, const char *id,
                                   const char *vm, uint32_t cpu);
@@ -62,6 +65,8 @@
                          const struct cw_run_row *rows, size_t n);
 /* The row with the given progress. */
 struct cw_run_row jobs_row_at_percent(struct cw_run_row r, uint32_t percent);
+/* The store forgets all records. */
+void jobs_drop_records(struct jobs_fixture *f);
 /* Loads the stored records into a new scheduler, as a takeover does. */
 void jobs_take_over(struct jobs_fixture *f);
 
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -176,6 +176,60 @@
     assert_int_equal(f.ops[0].row.job, 99);
 }
 
+/* LIMIT: a takeover does not know the room of runs whose jobs have ended. It
+ * gave that room to another task before they had stopped. */
+static void
+test_stray_run_keeps_its_room(void **state)
+{
+    (void)state;
+    static const struct {
+        bool cancelled; /* before the takeover; else its record is lost */
+        bool partial;   /* the report after the stop */
+    } cases[] = {{true, false}, {true, true}, {false, false}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct cw_job_spec s = jobs_spec(7, 1, 1000);
+        struct cw_job_spec next = jobs_spec(8, 1, 1000);
+        struct cw_run_report rest = {.partial = cases[i].partial};
+        struct cw_run_row row;
+        struct cw_worker *w;
+
+        (void)jobs_add_worker(&f, "w1", "v1", 1000);
+        jobs_accept(&f, &s);
+        jobs_commit(&f);
+        jobs_answer_starts(&f, 0);
+        row = f.ops[0].row;
+        if (cases[i].cancelled) {
+            assert_int_equal(cw_sched_cancel(&f.s, 7, f.now), CW_OK);
+            jobs_commit(&f);
+        }
+        else {
+            jobs_drop_records(&f);
+        }
+        jobs_take_over(&f);
+        w = jobs_list_worker(&f, "w1", "v1", 1000);
+        jobs_report_running(&f, w, &row, 1);
+        jobs_accept(&f, &next);
+        jobs_commit(&f);
+        assert_int_equal(jobs_count_ops(&f, 'x'), 1);
+        assert_int_equal(jobs_count_ops(&f, 's'), 0);
+        f.now += 300;
+        cw_sched_wake_pools(&f.s, f.now);
+        jobs_report_running(&f, w, &row, 1); /* the stop got lost */
+        jobs_commit(&f);
+        assert_int_equal(jobs_count_ops(&f, 'x'), 2);
+        assert_int_equal(jobs_count_ops(&f, 's'), 0);
+        f.now += 300;
+        rest.born_wall = w->born_wall;
+        rest.sent_at = f.now;
+        cw_sched_report(&f.s, w, &rest, f.now);
+        jobs_commit(&f);
+        assert_int_equal(jobs_count_ops(&f, 's'), cases[i].partial ? 0 : 1);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
 /* A lasting task must not be stopped while too many others of its step are
  * unavailable: still in start-up, not reported yet after a takeover, or on a
  * worker that no longer reports. After a takeover no task was known to be
@@ -474,6 +528,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_unexpected_run_is_stopped, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_stray_run_keeps_its_room, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_unavailable_tasks, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_later_incarnation_ends_earlier,
