Test that orders for VMs wait while the proof of the role is due

What callers would see without the guard: tasks that end with their VM on the repeated order of a scheduler that has been replaced, although its successor runs them there.

No test noticed that cw_fleet_call_timeout (fleet_orders.c) asks for more than time left in the membership. test_vm_orders_need_proof fails when it doesn't ("0x2 != 0x1": the move went out again before the append that proves the role).

--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -215,6 +215,34 @@
     r->report_wait = wait_ms;
 }
 
+/* ---- VM control ---- */
+
+static void
+move(void *ctx, struct cw_str vm, struct cw_str pool, struct cw_str holder,
+     uint64_t token, cw_ms timeout, cw_vm_done done, void *arg)
+{
+    struct rig *r = ctx;
+
+    (void)vm;
+    (void)pool;
+    (void)holder;
+    (void)token;
+    (void)timeout;
+    CW_INVARIANT(!r->move.open);
+    r->move = (struct rig_call){true, arg, {.order = done}};
+    r->move_count++;
+}
+
+void
+rig_answer_move(struct rig *r, enum cw_status s)
+{
+    struct rig_call c = r->move;
+
+    CW_INVARIANT(c.open);
+    r->move.open = false;
+    c.u.order(c.arg, s);
+}
+
 /* ---- the rig ---- */
 
 void
@@ -240,6 +268,7 @@
                                read_from, join,   leave,   get_owner};
     d->ports.exec = (struct cw_exec_port){conn_open, conn_close, start,
                                           stop,      pace,       poll_report};
+    d->ports.vmctl.move = move;
     d->config.version = 1;
     d->in_group = true;
     d->store_ok = true;
@@ -273,6 +302,9 @@
     if (r->published.open) {
         r->published.u.done(r->published.arg, CW_ERR_UNKNOWN);
     }
+    if (r->move.open) {
+        rig_answer_move(r, CW_ERR_UNKNOWN);
+    }
     if (r->join.open) {
         r->join.u.join(r->join.arg, CW_ERR_UNKNOWN, 0, false);
     }
--- a/tests/jobd_rig.h
+++ b/tests/jobd_rig.h
@@ -44,7 +44,7 @@
     struct rig_call jobs;    /* read of the records of jobs */
     struct rig_call workers; /* read of the list of workers */
     struct rig_call owner;
-    struct rig_call vms; /* read of the list of VMs */
+    struct rig_call move; /* of a VM */
     struct rig_call published;
     cw_ms publish_timeout;
     struct rig_call starts[RIG_ORDERS_MAX];
@@ -58,6 +58,7 @@
     uint32_t pace_percent;
     uint32_t report_count;
     uint32_t publish_count;
+    uint32_t move_count;
     int64_t report_until; /* of the last call for a report */
     uint64_t report_acked;
     cw_ms report_wait;
@@ -85,6 +86,8 @@
 void rig_report(struct rig *r, const struct cw_run_row *rows, size_t n);
 /* Answers it with this report. */
 void rig_answer_report(struct rig *r, struct cw_run_report *rep);
+/* Answers the open move of a VM. */
+void rig_answer_move(struct rig *r, enum cw_status s);
 /* Sets the end of the membership relative to now. */
 void rig_set_membership(struct rig *r, cw_ms left);
 /* Accepts a job of one task, lasting or not, without a commit. */
--- a/tests/test_proof.c
+++ b/tests/test_proof.c
@@ -351,6 +351,45 @@
     assert_false(cw_member_lease_valid(&rig.d, rig.clock.now));
 }
 
+/* ---- orders for VMs ---- */
+
+/* A scheduler that may have been replaced repeated an order for a VM before it
+ * had proved its role, and ended what its successor had started there. */
+static void
+test_vm_orders_need_proof(void **state)
+{
+    static const struct {
+        enum cw_status append; /* the proof */
+        uint32_t moves;
+    } cases[] = {{CW_OK, 2}, {CW_ERR_FENCED, 1}};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_jobd *d = &rig.d;
+        struct cw_name vm;
+        struct cw_name pool;
+
+        restart();
+        (void)cw_name_set(&vm, CW_LIT("m-1"));
+        (void)cw_name_set(&pool, CW_LIT("off"));
+        cw_fleet_order_begin(d, cw_fleet_vm_get(d, &vm), VM_MOVE, &pool, 0);
+        assert_int_equal(rig.move_count, 0);
+        rig_commit(&rig, CW_OK);
+        assert_int_equal(rig.move_count, 1);
+        rig_answer_move(&rig, CW_ERR_UNKNOWN);
+        leave_gap(3);
+        rig_advance(&rig, 500);
+        rig_set_membership(&rig, 900);
+        cw_fleet_orders_tick(d, rig.clock.now);
+        assert_int_equal(rig.move_count, 1);
+        rig_answer_append(&rig, cases[i].append);
+        if (d->fleet != NULL) {
+            cw_fleet_orders_tick(d, rig.clock.now);
+        }
+        assert_int_equal(rig.move_count, cases[i].moves);
+    }
+}
+
 /* ---- outcomes of waves ---- */
 
 /* Guards against a replaced scheduler that publishes over the outcome of its
@@ -404,6 +443,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_unseen_holder_needs_append, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_vm_orders_need_proof, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_outcomes_need_membership, setup,
                                         teardown),
     };
