Jobs: renew and acknowledge also at a worker that closes each connection

What callers would see: tasks on such a worker lapse every few seconds and start anew, so that one longer than its lease never ends; with 500 ends listed there no later one is seen.

Cause: renewals and acknowledgements went out only on a connection that had carried a report, as only that proves which incarnation receives them. A worker behind something that closes connections never has such a connection.

Evidence: test_worker_that_closes_connections, and the cases of test_acks_reach_one_incarnation in which the caller allows unproved calls. Not run on real processes.

Change: after two reports in a row on new connections the worker counts as one that closes them, and its calls carry both. A lease that may reach another incarnation counts for max_hold_ms, so that nothing starts elsewhere too early. An acknowledgement goes out only when no start was sent since the last report was asked for: the incarnation that reported was alive then, and a later one has no ends that it could forget. One report on a used connection ends this.

The port's call for a report takes its parameters as a structure.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -13,6 +13,9 @@
 /* Long-poll time of a report without a renewal, so that renewals resume soon
  * after the membership. */
 #define UNRENEWED_WAIT_MS 250
+/* Reports in a row on connections that had carried none, after which the
+ * worker counts as one that closes each connection. */
+#define UNPROVED_REPORTS_MAX 2
 /* After a run has ended, the next report carries its acknowledgement and so
  * waits for the commit, but no longer than this. */
 #define ACK_WAIT_MS 200
@@ -102,15 +105,15 @@
         }
         a->failures = 0;
         a->next_report_at = now + cw_loop_lag_report_delay(&d->lag);
-        if (r->proved) {
+        a->unproved_reports = r->proved ? 0 : a->unproved_reports + 1;
+        if (r->proved || a->acked_unproved) {
             a->acked_sent = a->report_acked;
         }
         else if (a->report_acked > a->acked_sent) {
-            /* A worker that closes each connection gets no acknowledgement,
-             * and no more calls for it than a silent one. */
             a->next_report_at = now + REPORT_RETRY_MS;
         }
         r->sent_at = a->report_sent;
+        a->reported_at = a->report_sent;
         if (r->partial) {
             cw_log(CW_WARN, "report_unreadable",
                    "worker=%s running=%zu ended=%zu", a->worker->id.text,
@@ -160,6 +163,23 @@
     return wait < REPORT_WAIT_MS ? wait : REPORT_WAIT_MS;
 }
 
+/* For a worker that closes each connection no call is proved. A lease may then
+ * reach another incarnation, and is counted for as long as that one may hold
+ * it. An acknowledgement is safe where another incarnation has no ends: no
+ * start was sent since the last report was asked for. */
+static void
+allow_unproved(struct cw_agent *a, struct cw_report_order *o, cw_ms arrives)
+{
+    if (a->unproved_reports < UNPROVED_REPORTS_MAX) {
+        return;
+    }
+    o->acked_unproved = a->starts_open == 0 && a->start_at < a->reported_at;
+    o->until_unproved = o->until_ms > 0;
+    if (o->until_unproved) {
+        cw_worker_lease_unproved(a->d->sched, a->worker, arrives);
+    }
+}
+
 static void
 send_report(struct cw_agent *a, cw_ms now)
 {
@@ -167,20 +187,24 @@
     struct cw_worker *w = a->worker;
     cw_ms renewals = cw_member_renewals_left(d, cw_jobd_now(d));
     bool busy = w->tasks != NULL || w->has_strays;
-    cw_ms wait = w->contacted && busy ? report_wait(renewals) : 0;
-    int64_t until = 0;
+    struct cw_report_order o = {
+        .epoch = d->epoch,
+        .acked = w->acked,
+        .wait_ms = w->contacted && busy ? report_wait(renewals) : 0};
+    cw_ms timeout = o.wait_ms + REPORT_MARGIN_MS;
 
     if (w->tasks != NULL && renewals > 0) {
-        until = cw_worker_lease_until(d->sched, w, a->failures == 0, now);
+        o.until_ms = cw_worker_lease_until(d->sched, w, a->failures == 0, now);
     }
     else if (w->tasks != NULL) {
         cw_jobd_count(d, "cuminwalk_withheld_total", "renewal");
     }
+    allow_unproved(a, &o, now + timeout);
     a->reporting = true;
     a->report_sent = now;
     a->report_acked = w->acked;
-    d->ports.exec.poll(a->conn, until, d->epoch, w->acked, wait,
-                       wait + REPORT_MARGIN_MS, on_report, a);
+    a->acked_unproved = o.acked_unproved;
+    d->ports.exec.poll(a->conn, &o, timeout, on_report, a);
 }
 
 void
--- a/packages/jobd/agents_int.h
+++ b/packages/jobd/agents_int.h
@@ -35,6 +35,11 @@
     cw_ms report_sent;
     cw_ms next_report_at; /* not before; later while the loop lags behind */
     cw_ms report_due;
+    cw_ms reported_at;         /* call that the last report answered */
+    uint32_t unproved_reports; /* in a row */
+    uint32_t starts_open;
+    cw_ms start_at;        /* last start that was sent */
+    bool acked_unproved;   /* see cw_report_order; of the open report call */
     uint64_t report_acked; /* acknowledgement in the open report call */
     uint64_t acked_sent;   /* acknowledgement that the worker received */
     uint32_t failures;     /* failed report calls in a row */
--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -92,6 +92,7 @@
     struct cw_task *t;
     cw_ms now = cw_jobd_now(d);
 
+    a->starts_open--;
     if (end_order_call(o, s)) {
         return;
     }
@@ -184,6 +185,8 @@
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
     cw_worker_start_sent(d->sched, a->worker, now);
+    a->starts_open++;
+    a->start_at = now;
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
 }
 
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -512,6 +512,10 @@
  * worker's clock is unknown. */
 int64_t cw_worker_lease_until(struct cw_sched *s, struct cw_worker *w,
                               bool renew, cw_ms now);
+/* A lease is sent that may reach another incarnation, at the latest at
+ * arrives. */
+void cw_worker_lease_unproved(struct cw_sched *s, struct cw_worker *w,
+                              cw_ms arrives);
 /* A start was sent to the worker. */
 void cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now);
 /* The worker's clock when it accepted a start: shows whether the incarnation
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -139,6 +139,13 @@
     lapses_not_before(w, now + longest(s->limits.lease_ms));
 }
 
+void
+cw_worker_lease_unproved(struct cw_sched *s, struct cw_worker *w,
+                         cw_ms arrives)
+{
+    lapses_not_before(w, arrives + longest_unproved(s));
+}
+
 void
 cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now)
 {
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -151,6 +151,20 @@
     uint64_t epoch;
 };
 
+/* A call for a report. The lease and the acknowledgement are left out when the
+ * call may reach another incarnation than the one that reported before, unless
+ * their members _unproved are true. The report's member proved says whether it
+ * could reach only that one. */
+struct cw_report_order {
+    uint64_t epoch;
+    int64_t
+        until_ms;   /* new end of the lease, on the worker's clock; 0: none */
+    uint64_t acked; /* acknowledges ended runs with numbers up to this */
+    bool until_unproved;
+    bool acked_unproved;
+    cw_ms wait_ms; /* waits up to this long for a run to end */
+};
+
 /* clock_ms: the worker's clock at its answer, 0 when it gave none. */
 typedef void (*cw_start_done)(void *arg, enum cw_status s,
                               enum cw_start_answer a, int64_t clock_ms);
@@ -173,14 +187,9 @@
     void (*pace)(struct cw_worker_conn *c, const struct cw_run_row *r,
                  uint32_t percent, uint64_t epoch, cw_ms timeout,
                  cw_worker_done done, void *arg);
-    /* Gets the running and the ended runs; waits up to wait_ms for a run to
-     * end. Also extends the lease to until_ms (0: leaves it unchanged) and
-     * acknowledges ended runs with numbers up to acked, both only when the
-     * call can reach no other incarnation than the one that reported before:
-     * the report's member proved says so. */
-    void (*poll)(struct cw_worker_conn *c, int64_t until_ms, uint64_t epoch,
-                 uint64_t acked, cw_ms wait_ms, cw_ms timeout,
-                 cw_report_done done, void *arg);
+    /* Gets the running and the ended runs. */
+    void (*poll)(struct cw_worker_conn *c, const struct cw_report_order *o,
+                 cw_ms timeout, cw_report_done done, void *arg);
 };
 
 /* ---- VMs --------------------------------------------------------------- */
