Agents: call a worker at the address that its entry shows now

What callers would see: a worker that restarts under its id at another address is not reached while it has tasks. These lapse, nothing starts there, and it holds room that others wait for.

Cause: an agent kept the connection that it had opened for the first address; only the entry was updated.

Evidence: test_restart_at_another_address failed before ("rig.starts[0].open": the calls stayed at the former address).

Change: an agent whose worker has another address opens a connection to it and closes the former one.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -24,18 +24,46 @@
  * that makes them due. */
 #define SCAN_INTERVAL_MS 50
 
+/* The worker has another address: its later calls go there. Those open end
+ * without an answer and are repeated like any other. */
+static void
+reconnect(struct cw_agent *a)
+{
+    struct cw_jobd *d = a->d;
+    struct cw_worker *w = a->worker;
+    struct cw_worker_conn *former = a->conn;
+    struct cw_worker_conn *conn =
+        d->ports.exec.open(d->ports.ctx, &w->id, &w->address);
+
+    if (conn == NULL) {
+        return;
+    }
+    cw_log(CW_INFO, "worker_moved", "worker=%s address=%s was=%s", w->id.text,
+           w->address.text, a->address.text);
+    a->conn = conn;
+    a->address = w->address;
+    d->ports.exec.close(former);
+}
+
 struct cw_agent *
 cw_agent_get(struct cw_jobd *d, struct cw_worker *w)
 {
     struct cw_agent *a = w->agent;
 
-    if (a != NULL || w->address.len == 0) {
+    if (w->address.len == 0) {
+        return a;
+    }
+    if (a != NULL) {
+        if (!cw_name_eq(&a->address, &w->address)) {
+            reconnect(a);
+        }
         return a;
     }
     a = calloc(1, sizeof(*a));
     CW_INVARIANT(a != NULL);
     a->d = d;
     a->worker = w;
+    a->address = w->address;
     a->conn = d->ports.exec.open(d->ports.ctx, &w->id, &w->address);
     if (a->conn == NULL) {
         cw_log(CW_WARN, "worker_unusable", "worker=%s address=%s", w->id.text,
--- a/packages/jobd/agents_int.h
+++ b/packages/jobd/agents_int.h
@@ -28,6 +28,7 @@
     struct cw_jobd *d;
     struct cw_worker *worker;
     struct cw_worker_conn *conn;
+    struct cw_name address; /* of conn */
     struct order *orders;
     uint32_t in_flight;
     bool closing;
--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -33,7 +33,7 @@
     (void)sequence;
     (void)timeout;
     CW_INVARIANT(!r->append.open);
-    r->append = (struct rig_call){true, arg, {.done = done}};
+    r->append = (struct rig_call){true, arg, NULL, {.done = done}};
     r->append_epoch = epoch;
     r->append_records = b->count;
     r->appends++;
@@ -47,7 +47,7 @@
 
     (void)b;
     CW_INVARIANT(!r->published.open);
-    r->published = (struct rig_call){true, arg, {.done = done}};
+    r->published = (struct rig_call){true, arg, NULL, {.done = done}};
     r->publish_timeout = timeout;
     r->publish_count++;
 }
@@ -64,7 +64,8 @@
 {
     (void)after;
     (void)timeout;
-    *page_call(ctx, stream) = (struct rig_call){true, arg, {.page = done}};
+    *page_call(ctx, stream) =
+        (struct rig_call){true, arg, NULL, {.page = done}};
 }
 
 static void
@@ -73,7 +74,8 @@
 {
     (void)from;
     (void)wait_ms;
-    *page_call(ctx, stream) = (struct rig_call){true, arg, {.page = done}};
+    *page_call(ctx, stream) =
+        (struct rig_call){true, arg, NULL, {.page = done}};
 }
 
 static void
@@ -86,7 +88,7 @@
     (void)generation;
     (void)ttl_ms;
     CW_INVARIANT(!r->join.open);
-    r->join = (struct rig_call){true, arg, {.join = done}};
+    r->join = (struct rig_call){true, arg, NULL, {.join = done}};
 }
 
 static void
@@ -104,7 +106,7 @@
     struct rig *r = ctx;
 
     (void)timeout;
-    r->owner = (struct rig_call){true, arg, {.owner = done}};
+    r->owner = (struct rig_call){true, arg, NULL, {.owner = done}};
 }
 
 /* ---- the worker ---- */
@@ -113,11 +115,12 @@
 conn_open(void *ctx, const struct cw_name *id, const struct cw_name *address)
 {
     struct rig *r = ctx;
+    struct cw_worker_conn *c = &r->conns[r->conn_count++ % RIG_CONNS_MAX];
 
     (void)id;
-    (void)address;
-    r->conn.rig = r;
-    return &r->conn;
+    c->rig = r;
+    c->address = *address;
+    return c;
 }
 
 static void
@@ -144,11 +147,15 @@
     struct rig_call report = r->report;
 
     for (size_t i = 0; i < RIG_ORDERS_MAX; i++) {
-        answer_order(&r->starts[i], CW_ERR_UNKNOWN, true);
-        answer_order(&r->stops[i], CW_ERR_UNKNOWN, false);
+        if (r->starts[i].conn == c) {
+            answer_order(&r->starts[i], CW_ERR_UNKNOWN, true);
+        }
+        if (r->stops[i].conn == c) {
+            answer_order(&r->stops[i], CW_ERR_UNKNOWN, false);
+        }
     }
-    r->report.open = false;
-    if (report.open) {
+    if (report.open && report.conn == c) {
+        r->report.open = false;
         report.u.report(report.arg, CW_ERR_UNKNOWN, NULL);
     }
 }
@@ -171,7 +178,8 @@
 {
     (void)o;
     (void)timeout;
-    *free_call(c->rig->starts) = (struct rig_call){true, arg, {.start = done}};
+    *free_call(c->rig->starts) =
+        (struct rig_call){true, arg, c, {.start = done}};
     c->rig->start_count++;
 }
 
@@ -182,7 +190,8 @@
     (void)row;
     (void)epoch;
     (void)timeout;
-    *free_call(c->rig->stops) = (struct rig_call){true, arg, {.order = done}};
+    *free_call(c->rig->stops) =
+        (struct rig_call){true, arg, c, {.order = done}};
     c->rig->stop_count++;
 }
 
@@ -193,7 +202,8 @@
     (void)row;
     (void)epoch;
     (void)timeout;
-    *free_call(c->rig->stops) = (struct rig_call){true, arg, {.order = done}};
+    *free_call(c->rig->stops) =
+        (struct rig_call){true, arg, c, {.order = done}};
     c->rig->pace_count++;
     c->rig->pace_percent = percent;
 }
@@ -206,7 +216,7 @@
 
     (void)timeout;
     CW_INVARIANT(!r->report.open);
-    r->report = (struct rig_call){true, arg, {.report = done}};
+    r->report = (struct rig_call){true, arg, c, {.report = done}};
     r->report_count++;
     r->report_order = *o;
 }
@@ -225,7 +235,7 @@
     (void)token;
     (void)timeout;
     CW_INVARIANT(!r->move.open);
-    r->move = (struct rig_call){true, arg, {.order = done}};
+    r->move = (struct rig_call){true, arg, NULL, {.order = done}};
     r->move_count++;
 }
 
@@ -353,8 +363,8 @@
     c.u.done(c.arg, s);
 }
 
-static struct cw_worker_entry
-worker_entry(void)
+struct cw_worker_entry
+rig_worker_entry(void)
 {
     struct cw_worker_entry e = {.capacity = {4000, 4000, 0}, .born_wall = 1};
 
@@ -368,7 +378,7 @@
 void
 rig_take_over(struct rig *r)
 {
-    struct cw_worker_entry e = worker_entry();
+    struct cw_worker_entry e = rig_worker_entry();
     struct rig_call jobs;
     struct cw_store_record claim = {.key = CW_LIT(CW_CLAIM_KEY)};
     struct cw_store_page page = {.records = &claim, .count = 1};
--- a/tests/jobd_rig.h
+++ b/tests/jobd_rig.h
@@ -14,6 +14,7 @@
 struct rig_call {
     bool open;
     void *arg;
+    const struct cw_worker_conn *conn; /* NULL: to the store */
     union {
         cw_store_done done;
         cw_store_page_done page;
@@ -27,8 +28,11 @@
 
 #define RIG_ORDERS_MAX 8
 
+#define RIG_CONNS_MAX 4
+
 struct cw_worker_conn {
     struct rig *rig;
+    struct cw_name address;
 };
 
 struct rig {
@@ -36,7 +40,8 @@
     struct cw_clock_manual clock;
     struct cw_jobd d;
     struct cw_worker *worker;
-    struct cw_worker_conn conn;
+    struct cw_worker_conn conns[RIG_CONNS_MAX];
+    size_t conn_count;
     struct rig_call append;
     struct cw_buf claim; /* value of the last one appended */
     uint64_t append_epoch;
@@ -71,6 +76,8 @@
 void rig_run(struct rig *r);
 /* Sends a join and answers it. */
 void rig_join(struct rig *r, uint64_t generation, bool assigned);
+/* The worker's entry in the list. */
+struct cw_worker_entry rig_worker_entry(void);
 /* Answers the takeover's calls: the daemon is the scheduler of a worker that
  * has reported. */
 void rig_take_over(struct rig *r);
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -150,6 +150,50 @@
     assert_false(o->until_unproved || o->acked_unproved);
 }
 
+/* The address of the connection that an open call was sent on. */
+static const char *
+sent_to(const struct rig_call *c)
+{
+    assert_true(c->open);
+    return c->conn->address.text;
+}
+
+/* A worker that restarted under its id at another address was called at the
+ * former one for as long as it had tasks: they lapsed, and no task started
+ * there. */
+static void
+test_restart_at_another_address(void **state)
+{
+    struct cw_worker_entry e = rig_worker_entry();
+    struct cw_run_row row;
+    struct cw_task *t;
+
+    (void)state;
+    row = cw_task_row(rig_run_task(&rig, 1));
+    cw_agents_scan(&rig.d, rig.clock.now);
+    (void)rig_accept(&rig, 2, false);
+    rig_commit(&rig, CW_OK);
+    assert_string_equal(sent_to(&rig.report), "127.0.0.1:9");
+    assert_string_equal(sent_to(&rig.starts[0]), "127.0.0.1:9");
+    e.born_wall = 2;
+    (void)cw_name_set(&e.address, CW_LIT("127.0.0.1:10"));
+    assert_ptr_equal(cw_sched_worker_listed(rig.d.sched, &e, rig.clock.now),
+                     rig.worker);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_false(rig.starts[0].open);
+    rig_advance(&rig, 300);
+    rig_set_membership(&rig, 900);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_string_equal(sent_to(&rig.report), "127.0.0.1:10");
+    rig_answer_report(
+        &rig, &(struct cw_run_report){.born_wall = 2, .clock_ms = 300});
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_string_equal(sent_to(&rig.starts[0]), "127.0.0.1:10");
+    /* The former incarnation's run is over. */
+    t = cw_sched_find_task(rig.d.sched, &row);
+    assert_true(t->worker == NULL || t->run > row.run);
+}
+
 int
 main(void)
 {
@@ -160,6 +204,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_worker_that_closes_connections,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_restart_at_another_address, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
