Agents: pause after a report of an earlier incarnation

What callers would see: slow answers of the scheduler, and calls to one worker without a pause, for as long as its former process still answers.

Cause: the list shows a later start of the worker; a report of the former one is ignored, so that the worker counts as not contacted and is asked again at once.

Evidence: test_pause_after_an_earlier_incarnation failed with "0x1b != 0x3" (25 calls in 250 ms at the pace of the test; on real processes limited only by the round trip).

Change: cw_sched_report says whether it took the report; one that it ignored is followed by the pause after a failed call.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -148,7 +148,9 @@
                    r->running_count, r->ended_count);
             a->next_report_at = now + REPORT_RETRY_MS;
         }
-        cw_sched_report(d->sched, a->worker, r, now);
+        if (!cw_sched_report(d->sched, a->worker, r, now)) {
+            a->next_report_at = now + REPORT_RETRY_MS;
+        }
         a->report_due = a->worker->ack_pending > a->worker->acked
                             ? now + ACK_WAIT_MS
                             : now;
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -494,7 +494,9 @@
  * removal. */
 void cw_sched_sweep_workers(struct cw_sched *s, cw_ms now,
                             void (*drop)(void *ctx, struct cw_worker *w));
-void cw_sched_report(struct cw_sched *s, struct cw_worker *w,
+/* Applies a report. False when it is of an earlier incarnation than the one
+ * known: it is ignored. */
+bool cw_sched_report(struct cw_sched *s, struct cw_worker *w,
                      const struct cw_run_report *r, cw_ms now);
 /* Handles the answer to a start. sent_before: an earlier send of the same
  * start got no answer; it may have taken effect or still do so. */
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -365,13 +365,13 @@
     }
 }
 
-void
+bool
 cw_sched_report(struct cw_sched *s, struct cw_worker *w,
                 const struct cw_run_report *r, cw_ms now)
 {
     if (r->born_wall != 0 && r->born_wall != w->born_wall) {
         if (r->born_wall < w->born_wall) {
-            return;
+            return false;
         }
         cw_worker_new_incarnation(s, w, r->born_wall, now);
     }
@@ -398,6 +398,7 @@
     if (r->ended_count < ENDS_LISTED_MAX && !r->partial) {
         drop_unlisted(s, w, r, now);
     }
+    return true;
 }
 
 static void
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -194,6 +194,31 @@
     assert_true(t->worker == NULL || t->run > row.run);
 }
 
+/* The entry of a restarted worker came before the end of its former process:
+ * each report of that process was ignored and asked for again at once, some
+ * thousand times a second. */
+static void
+test_pause_after_an_earlier_incarnation(void **state)
+{
+    struct cw_worker_entry e = rig_worker_entry();
+    uint32_t calls;
+
+    (void)state;
+    e.born_wall = 2;
+    (void)cw_sched_worker_listed(rig.d.sched, &e, rig.clock.now);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    calls = rig.report_count;
+    for (int i = 0; i < 25; i++) {
+        if (rig.report.open) {
+            rig_report(&rig, NULL, 0); /* born at 1 */
+        }
+        rig_advance(&rig, 10);
+        cw_agents_scan(&rig.d, rig.clock.now);
+    }
+    assert_int_equal(rig.report_count, calls + 1);
+    assert_false(rig.worker->contacted);
+}
+
 int
 main(void)
 {
@@ -206,6 +231,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_restart_at_another_address, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(
+            test_pause_after_an_earlier_incarnation, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
