Agents: repeat a stop that no task waits for

What callers would see: a run that goes on beside what was started in its room (LIMIT), or after its job was cancelled (UNASKED), until its end or its lease.

Cause: a stop without an answer was sent again only while its task was in the state of stopping. A later run that a late `done` makes superfluous, and runs of no known task, have none.

Evidence: test_stop_of_a_stray_is_repeated failed before ("0x1 != 0x2").

Change: such a stop is repeated for longer than a lease, 12 times at most; test_stop_of_a_stray_ends guards the bound. Until some time after the next attempt the worker gets no starts.

--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -13,6 +13,12 @@
 /* Attempts at a start that was never sent, before the task goes to another
  * worker. */
 #define START_ATTEMPTS_MAX 2
+/* A stop that no task waits for is sent again after this time, and this often:
+ * for longer than a lease, after which its run has ended. Until some time
+ * after the next attempt the run may take room. */
+#define STRAY_STOP_RETRY_MS 800
+#define STRAY_STOP_ATTEMPTS_MAX 12
+#define STRAY_STOP_ROOM_MS 2000
 /* Not a percentage: differs from any pace that the scheduler sets. */
 #define PACE_UNKNOWN 255
 
@@ -55,10 +61,10 @@
 
 /* Queues an order that got no answer again. */
 static void
-requeue_order(struct order *o, cw_ms now)
+requeue_order(struct order *o, cw_ms pause, cw_ms now)
 {
     o->tries++;
-    o->due = now + ORDER_RETRY_MS;
+    o->due = now + pause;
     push_order(o->agent, o);
 }
 
@@ -126,7 +132,7 @@
             free(o);
         }
         else {
-            requeue_order(o, now);
+            requeue_order(o, ORDER_RETRY_MS, now);
         }
     }
     cw_agent_commit_changes(d);
@@ -134,6 +140,28 @@
     cw_agent_report_if_due(a, now);
 }
 
+/* Handles a stop without an answer. It is sent again, also for a run that no
+ * task counts any more: that takes room, so that the worker gets no starts
+ * meanwhile. */
+static void
+stop_failed(struct order *o, const struct cw_task *t, cw_ms now)
+{
+    struct cw_worker *w = o->agent->worker;
+
+    if (t != NULL && t->state == CW_RUN_STOPPING) {
+        requeue_order(o, ORDER_RETRY_MS, now);
+        return;
+    }
+    if (t != NULL || o->tries + 1 >= STRAY_STOP_ATTEMPTS_MAX) {
+        free(o);
+        return;
+    }
+    if (w->retry_at < now + STRAY_STOP_ROOM_MS) {
+        w->retry_at = now + STRAY_STOP_ROOM_MS;
+    }
+    requeue_order(o, STRAY_STOP_RETRY_MS, now);
+}
+
 static void
 on_stop_or_pace(void *arg, enum cw_status s)
 {
@@ -155,9 +183,8 @@
         cw_sched_stop_answered(d->sched, a->worker, &o->row, now);
         free(o);
     }
-    else if (s != CW_OK && o->kind == ORDER_STOP && t != NULL &&
-             t->state == CW_RUN_STOPPING) {
-        requeue_order(o, now);
+    else if (s != CW_OK && o->kind == ORDER_STOP) {
+        stop_failed(o, t, now);
     }
     else {
         if (s != CW_OK && o->kind == ORDER_PACE && t != NULL) {
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -219,6 +219,78 @@
     assert_false(rig.worker->contacted);
 }
 
+/* Ends the only open order for the worker, a stop, without an answer. */
+static void
+lose_stop(void)
+{
+    struct rig_call c = rig.stops[0];
+
+    assert_true(c.open);
+    rig.stops[0].open = false;
+    c.u.order(c.arg, CW_ERR_UNKNOWN);
+}
+
+/* A stop of a run that no task counts any more was not repeated when it got no
+ * answer: the run went on to its end beside what was started in its room
+ * (LIMIT), and after a cancel (UNASKED). */
+static void
+test_stop_of_a_stray_is_repeated(void **state)
+{
+    struct cw_run_row stray = {.job = 99, .run = 1};
+    uint32_t starts;
+
+    (void)state;
+    rig_set_membership(&rig, 60000);
+    cw_agent_ops.stop(&rig.d, rig.worker, &stray);
+    assert_int_equal(rig.stop_count, 1);
+    lose_stop();
+    (void)rig_accept(&rig, 1, false);
+    starts = rig.start_count;
+    for (uint32_t i = 2; i <= 4; i++) {
+        rig_advance(&rig, 800);
+        rig_commit(&rig, CW_OK);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        assert_int_equal(rig.stop_count, i);
+        assert_int_equal(rig.start_count, starts);
+        lose_stop();
+    }
+    rig_advance(&rig, 800);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    rig_answer_orders(&rig);
+    rig_advance(&rig, 500);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    rig_commit(&rig, CW_OK);
+    assert_int_equal(rig.start_count, starts); /* it may take that long */
+    rig_advance(&rig, 1000);
+    cw_sched_wake_pools(rig.d.sched, rig.clock.now);
+    rig_commit(&rig, CW_OK);
+    assert_int_equal(rig.start_count, starts + 1);
+    assert_int_equal(rig.stop_count, 5);
+}
+
+/* Guards against stops that are sent to a dead worker without end. */
+static void
+test_stop_of_a_stray_ends(void **state)
+{
+    struct cw_run_row stray = {.job = 99, .run = 1};
+    cw_ms began = rig.clock.now;
+    cw_ms last = 0;
+
+    (void)state;
+    rig_set_membership(&rig, 120000);
+    cw_agent_ops.stop(&rig.d, rig.worker, &stray);
+    while (rig.clock.now - began < 60000) {
+        if (rig.stops[0].open) {
+            last = rig.clock.now - began;
+            rig_advance(&rig, 400);
+            lose_stop();
+        }
+        rig_advance(&rig, 50);
+        cw_agents_scan(&rig.d, rig.clock.now);
+    }
+    assert_in_range(last, RIG_MAX_HOLD_MS, 2 * RIG_MAX_HOLD_MS);
+}
+
 int
 main(void)
 {
@@ -233,6 +305,10 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(
             test_pause_after_an_earlier_incarnation, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_stop_of_a_stray_is_repeated,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_stop_of_a_stray_ends, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
