Jobs: a VM's later worker ends the earlier ones once it has reported

What callers would see: tasks that run twice (TWICE). An entry that is no worker's, of a sound form, with a known service and the VM of another worker, ended that worker's runs in the table, and its tasks started elsewhere; when the sound worker's own entry came back, it stayed hidden.

Cause: a listed entry with a later start counted as proof that the VM had a new worker. Anybody may write such an entry; its id is no worker's.

Evidence: test_entry_of_anothers_vm failed before ("0x2 != 0": the sound worker was gone).

Change: the earlier workers of a VM end when the later one has reported, which needs a process that answers to its id. A real restart reports some milliseconds after it is listed; when it can't be reached, the earlier runs end with their lease.

--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -63,6 +63,12 @@
                   cw_ms now);
 /* Removes the worker from the workers of its VM. */
 void cw_worker_leave_vm(struct cw_sched *s, struct cw_worker *w);
+/* A worker is one incarnation of a VM. When a later one has reported, the runs
+ * of the earlier ones have ended, although their entries may stay listed for
+ * some seconds. An entry alone proves nothing: it may name another worker's
+ * VM. */
+void cw_worker_end_earlier(struct cw_sched *s, const struct cw_worker *w,
+                           cw_ms now);
 /* Ends up to ack_pending wait for the commit of ack_batch. */
 void cw_worker_await_ack(struct cw_sched *s, struct cw_worker *w);
 /* Assigns a task to a worker, and removes it from there. */
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -381,6 +381,7 @@
     w->reports++;
     if (!w->contacted) {
         w->contacted = true;
+        cw_worker_end_earlier(s, w, now);
         cw_pool_plan_soon(s, w->pool);
     }
     for (size_t i = 0; i < r->ended_count; i++) {
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -353,12 +353,8 @@
     }
 }
 
-/* A worker is one incarnation of a VM. When a later one is listed, the runs of
- * the earlier ones have ended, although their entries may stay listed for some
- * seconds. */
-static void
-end_earlier_incarnations(struct cw_sched *s, const struct cw_worker *w,
-                         cw_ms now)
+void
+cw_worker_end_earlier(struct cw_sched *s, const struct cw_worker *w, cw_ms now)
 {
     if (w->vm_workers == NULL || w->born_wall == 0) {
         return;
@@ -383,7 +379,7 @@
         return false;
     }
     for (const struct cw_worker *o = v->list; o != NULL; o = o->vm_next) {
-        if (o->born_wall > e->born_wall) {
+        if (o->contacted && o->born_wall > e->born_wall) {
             return true;
         }
     }
@@ -434,7 +430,6 @@
                e->draining ? "draining" : "ready");
         w->state = state;
         cw_pool_plan_soon(s, p);
-        end_earlier_incarnations(s, w, now);
         if (e->draining) {
             stop_lasting_tasks(s, w, now);
         }
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -303,6 +303,36 @@
     assert_string_equal(f.ops[1].worker, "w2");
 }
 
+/* TWICE: an entry of another writer that named the VM of a sound worker ended
+ * that worker's runs, so that its tasks started elsewhere beside them, and it
+ * hid the worker when its own entry came back. Nobody answers under its id. */
+static void
+test_entry_of_anothers_vm(void **state)
+{
+    (void)state;
+    struct cw_job_spec s = jobs_spec(7, 1, 1000);
+    struct cw_worker *w1;
+    struct cw_worker *odd;
+
+    jobs_add_worker(&f, "w1", "v1", 4000);
+    jobs_add_worker(&f, "w2", "v2", 4000);
+    jobs_accept(&f, &s);
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    w1 = cw_sched_find_worker(&f.s, cw_str_from(f.ops[0].worker));
+    f.now += 100;
+    odd = jobs_list_worker(&f, "x", w1->vm.text, 4000);
+    assert_non_null(odd);
+    assert_int_equal(w1->state, CW_WORKER_READY);
+    assert_int_equal(w1->task_count, 1);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 1);
+    cw_sched_worker_gone(&f.s, cw_name_str(&w1->id), f.now);
+    f.now -= 100; /* its entry is the one from before */
+    assert_ptr_equal(jobs_list_worker(&f, w1->id.text, w1->vm.text, 4000), w1);
+    assert_int_equal(w1->state, CW_WORKER_READY);
+}
+
 /* A worker that restarts under its id has none of its earlier runs. */
 static void
 test_restarted_worker(void **state)
@@ -534,6 +564,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_later_incarnation_ends_earlier,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_entry_of_anothers_vm, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_partial_report, setup, teardown),
