Test that a report from before the answer to a stop does not end the run

What callers would see without the guard: a task that runs twice (TWICE), as the report may have been written before the start arrived.

No test noticed the removal of the comparison with the time of the report's call in run_is_over. test_stop_answered_after_the_report fails without it ("0x1 != 0").

--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -190,6 +190,33 @@
     assert_null(only_task()->worker);
 }
 
+/* TWICE: a report that was asked for before the worker answered a stop may miss
+ * the run that is being stopped: its start arrived after the report was
+ * written. Taken for the end of the run, its task started elsewhere. */
+static void
+test_stop_answered_after_the_report(void **state)
+{
+    (void)state;
+    static const struct {
+        cw_ms ago; /* the report was asked for */
+        bool over;
+    } cases[] = {{30, false}, {5, true}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_worker *w = begin_run(UNANSWERED);
+        struct cw_run_row row = cw_task_row(only_task());
+
+        f.now += 20;
+        cw_sched_stop_task(&f.s, only_task(), f.now);
+        cw_sched_stop_answered(&f.s, w, &row, f.now);
+        f.now += 10;
+        report(w, 1000, cases[i].ago, NULL);
+        assert_int_equal(only_task()->worker == NULL, cases[i].over);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
 /* A repeated start that is rejected as old has run. When the worker restarts
  * before it has listed the end, no report would ever decide on the run. */
 static void
@@ -369,6 +396,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_restart_repeats_stop, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_stop_answered_after_the_report,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_old_start_is_answered, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_lease_of_an_unproved_incarnation,
