Test that a lease end on a former incarnation's clock is not sent again

What callers would see without the guard: a task that runs twice (TWICE). The end of a lease on the former clock is far ahead on the new one, and a worker that is then cut off holds its runs for max_hold_ms.

No test noticed that cw_worker_new_incarnation forgets the end that was sent last. test_lease_of_the_former_clock fails without it ("3604110 is not within the range 100-4100").

--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -311,6 +311,23 @@
     }
 }
 
+/* TWICE: the end of a former incarnation's lease, sent again to the new one, is
+ * far ahead on its clock and holds its runs for longer than the scheduler
+ * counts. */
+static void
+test_lease_of_the_former_clock(void **state)
+{
+    (void)state;
+    struct cw_worker *w = begin_run(UNANSWERED);
+    struct cw_run_row row = cw_task_row(only_task());
+
+    f.now += 3600 * 1000;
+    assert_true(cw_worker_lease_until(&f.s, w, true, f.now) > 3600 * 1000);
+    report(w, 2000, 10, &row); /* its clock is at 100 */
+    assert_in_range(cw_worker_lease_until(&f.s, w, false, f.now), 100,
+                    100 + JOBS_LEASE_MS);
+}
+
 /* A previous scheduler may have sent such a start. */
 static void
 test_lease_after_takeover(void **state)
@@ -402,6 +419,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_lease_of_an_unproved_incarnation,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_lease_of_the_former_clock, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_lease_after_takeover, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_lease_of_an_unknown_worker, setup,
