Test the guards of calls to silent and restarted workers

No test noticed the removal of these; each fails one now (on a scratch copy, the guard alone taken out):

- a start waits while the worker's clock is unknown: test_start_waits_for_the_clock ("0x1 != 0").
Callers would see a task twice: the lease ends far ahead.
- an unanswered start is not repeated to a silent worker, nor with a later lease: test_repeats_of_a_start ("0x2 != 0x1", "0x19abb != 0x199ef").
- a call to a silent worker renews nothing: test_calls_to_a_silent_worker_renew_nothing ("0x199c4 != 0x19898").
Its tasks would wait for as long as it is called.
- only an entry written since the takeover, and of an old incarnation, proves it: test_list_proves_what_was_written_since ("t->proved"), and a stricter bound in test_lease_of_an_unknown_worker.
A task could run twice.
- a pause while an acknowledgement is left out: test_acks_until_one_is_proved ("rig.report.open").
Calls without a pause.

--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -8,6 +8,7 @@
 
 #include "agents_int.h"
 #include "jobd_rig.h"
+#include "jobs_util.h"
 
 static struct rig rig;
 
@@ -96,6 +97,7 @@
         assert_true(rig.report.open);
         assert_int_equal(rig.report_order.acked, 1);
         answer_idle(i == 2);
+        assert_false(rig.report.open); /* a pause: it is no busy loop */
         rig_advance(&rig, 250);
         cw_agents_scan(&rig.d, rig.clock.now);
     }
@@ -150,6 +152,152 @@
     assert_false(o->until_unproved || o->acked_unproved);
 }
 
+/* ---- silent and restarted workers ---- */
+
+/* Ends the open call for a report without an answer. */
+static void
+lose_report(void)
+{
+    struct rig_call c = rig.report;
+
+    assert_true(c.open);
+    rig.report.open = false;
+    c.u.report(c.arg, CW_ERR_UNKNOWN, NULL);
+}
+
+/* Guards against calls to a silent worker that move the time on at which its
+ * runs have ended: its tasks would wait for as long as it is called. */
+static void
+test_calls_to_a_silent_worker_renew_nothing(void **state)
+{
+    cw_ms lapse_at;
+    int64_t until;
+
+    (void)state;
+    (void)rig_run_task(&rig, 1);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    rig_set_membership(&rig, 60000);
+    until = rig.report_order.until_ms;
+    lapse_at = rig.worker->lapse_at;
+    for (int i = 0; i < 3; i++) {
+        lose_report();
+        rig_advance(&rig, 300);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        assert_int_equal(rig.report_order.until_ms, until);
+        assert_int_equal(rig.worker->lapse_at, lapse_at);
+    }
+}
+
+/* Ends the open start without an answer. */
+static void
+lose_start(void)
+{
+    struct rig_call c = rig.starts[0];
+
+    assert_true(c.open);
+    rig.starts[0].open = false;
+    c.u.start(c.arg, CW_ERR_UNKNOWN, CW_START_OK, 0);
+}
+
+/* Guards against a task that runs twice: a start without an answer may have
+ * arrived, also at a restarted process. Repeated while the worker is silent,
+ * or with a later end of its lease, it holds the run for longer than counted.
+ */
+static void
+test_repeats_of_a_start(void **state)
+{
+    (void)state;
+    for (int silent = 0; silent < 2; silent++) {
+        cw_ms lapse_at;
+
+        (void)teardown(NULL);
+        (void)setup(NULL);
+        (void)rig_accept(&rig, 1, false);
+        rig_set_membership(&rig, 60000);
+        rig_commit(&rig, CW_OK);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        assert_int_equal(rig.start_count, 1);
+        lapse_at = rig.worker->lapse_at;
+        lose_start();
+        if (silent) {
+            lose_report();
+        }
+        rig_advance(&rig, 200);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        assert_int_equal(rig.start_count, silent ? 1 : 2);
+        assert_int_equal(rig.worker->lapse_at, lapse_at);
+        if (silent) {
+            rig_advance(&rig, 100);
+            cw_agents_scan(&rig.d, rig.clock.now);
+            rig_report(&rig, NULL, 0);
+            cw_agents_scan(&rig.d, rig.clock.now);
+            assert_int_equal(rig.start_count, 2);
+        }
+    }
+}
+
+/* Guards against a start that carries the end of a lease on an unknown clock:
+ * the worker's restart was seen after the start had been planned. */
+static void
+test_start_waits_for_the_clock(void **state)
+{
+    struct cw_worker_entry e = rig_worker_entry();
+
+    (void)state;
+    (void)rig_accept(&rig, 1, false);
+    rig_begin_commit(&rig);
+    e.born_wall = 2;
+    (void)cw_sched_worker_listed(rig.d.sched, &e, rig.clock.now);
+    rig_answer_append(&rig, CW_OK);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_int_equal(rig.start_count, 0);
+    rig_answer_report(
+        &rig, &(struct cw_run_report){.born_wall = 2, .clock_ms = 300});
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_int_equal(rig.start_count, 1);
+}
+
+/* ---- proofs of incarnations by the list ---- */
+
+/* Answers the open read of the list of workers with the worker's entry. */
+static void
+answer_list(void)
+{
+    static const struct cw_store_record r = {
+        CW_LIT("w-1"),
+        CW_LIT("{\"service\":\"" JOBS_SERVICE
+               "\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
+               "\"capacity\":{\"cpu\":4000,\"memMb\":4000},"
+               "\"machine\":\"m-1\",\"born\":1}")};
+    struct cw_store_page page = {.records = &r, .count = 1, .next = 5};
+    struct rig_call c = rig.workers;
+
+    assert_true(c.open);
+    rig.workers.open = false;
+    c.u.page(c.arg, CW_OK, &page);
+}
+
+/* TWICE: an entry that had been written before the takeover counted as proof
+ * that no later incarnation holds the former scheduler's runs. */
+static void
+test_list_proves_what_was_written_since(void **state)
+{
+    struct cw_task *t;
+
+    (void)state;
+    t = rig_run_task(&rig, 1);
+    t->order_batch = 0; /* as if loaded by a takeover */
+    t->proved = false;
+    cw_watch_workers(&rig.d, rig.clock.now);
+    answer_list();
+    assert_true(rig.d.workers_loaded);
+    assert_false(t->proved);
+    rig_advance(&rig, 400);
+    cw_watch_workers(&rig.d, rig.clock.now);
+    answer_list();
+    assert_true(t->proved);
+}
+
 /* The address of the connection that an open call was sent on. */
 static const char *
 sent_to(const struct rig_call *c)
@@ -301,6 +449,14 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_worker_that_closes_connections,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_calls_to_a_silent_worker_renew_nothing, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_repeats_of_a_start, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_start_waits_for_the_clock, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(
+            test_list_proves_what_was_written_since, setup, teardown),
         cmocka_unit_test_setup_teardown(test_restart_at_another_address, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(
--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -190,8 +190,8 @@
     assert_null(only_task()->worker);
 }
 
-/* TWICE: a report that was asked for before the worker answered a stop may miss
- * the run that is being stopped: its start arrived after the report was
+/* TWICE: a report that was asked for before the worker answered a stop may
+ * miss the run that is being stopped: its start arrived after the report was
  * written. Taken for the end of the run, its task started elsewhere. */
 static void
 test_stop_answered_after_the_report(void **state)
@@ -311,8 +311,8 @@
     }
 }
 
-/* TWICE: the end of a former incarnation's lease, sent again to the new one, is
- * far ahead on its clock and holds its runs for longer than the scheduler
+/* TWICE: the end of a former incarnation's lease, sent again to the new one,
+ * is far ahead on its clock and holds its runs for longer than the scheduler
  * counts. */
 static void
 test_lease_of_the_former_clock(void **state)
@@ -399,7 +399,9 @@
         }
         ms = time_to_lapse();
         assert_int_equal(ms >= MAX_HOLD_MS, cases[i].longest);
-        assert_true(ms >= JOBS_LEASE_MS + f.s.limits.renewals_ms);
+        assert_true(ms >=
+                    f.s.limits.renewals_ms +
+                        (cases[i].longest ? MAX_HOLD_MS : JOBS_LEASE_MS));
         jobs_teardown(&f);
         jobs_setup(&f);
     }
