Jobs: record when a run was started

What callers would see: a lasting task that does not run for over 20 s after its worker was lost, although there is room (LOST).

Cause: after a takeover a run on a silent worker counts for max_hold_ms, and each of several takeovers in a row began that count anew. Before the longest lease was counted, it was lease_ms.

The cases with the age of a run in test_lease_of_an_unknown_worker fail without the change.

Change: the record of a run has the time of its start. One that is older than the longest lease, if it runs, does so on an incarnation whose clock each scheduler since has known, so that lease_ms counts. Wall clocks may differ by 5 s, as for the age of a worker. 7 bytes a run in the store.

--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -135,6 +135,7 @@
     struct cw_task *unsent_next; /* in cw_sched.unsent */
     uint64_t order_batch; /* batch with the latest start, 0: loaded record */
     cw_ms state_since;
+    cw_ms started_wall; /* of the latest run; 0: unknown */
     cw_ms stop_answered_at; /* the worker acknowledged a stop; 0: not yet */
     uint32_t last_report;   /* number of the worker's last report with it */
     cw_ms ready_at;         /* it could start from then on */
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -58,6 +58,11 @@
 /* The listed incarnation lives. When it began long ago, the previous scheduler
  * knew it, and the leases of its starts are proved. */
 void cw_worker_seen_alive(struct cw_sched *s, struct cw_worker *w, cw_ms now);
+/* The run was started so long ago that, if it runs, it does so on an
+ * incarnation whose clock every scheduler since has known: its lease is
+ * proved. */
+bool cw_run_outlived_unproved(const struct cw_sched *s,
+                              const struct cw_task *t, cw_ms now);
 /* The run is over: the task waits again. */
 void cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
                   cw_ms now);
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -80,6 +80,15 @@
     w->born_wall = born;
 }
 
+bool
+cw_run_outlived_unproved(const struct cw_sched *s, const struct cw_task *t,
+                         cw_ms now)
+{
+    return t->started_wall != 0 &&
+           now + s->wall_offset - t->started_wall >=
+               START_ARRIVAL_MS + longest_unproved(s) + WALL_SKEW_MS;
+}
+
 void
 cw_worker_seen_alive(struct cw_sched *s, struct cw_worker *w, cw_ms now)
 {
--- a/packages/jobs/jobs_plan.c
+++ b/packages/jobs/jobs_plan.c
@@ -316,6 +316,7 @@
     t->run = run;
     cw_task_set_state(t, CW_RUN_STARTING);
     t->state_since = now;
+    t->started_wall = now + s->wall_offset;
     t->order_batch = s->batch;
     t->proved = false;
     cw_worker_lease_planned(s, w, now);
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -220,6 +220,7 @@
         r->failures = t->failures;
         if (t->worker != NULL) {
             r->worker = t->worker->id.text;
+            r->started_wall = t->started_wall;
         }
         if (t->state != CW_RUN_DONE) {
             r->checkpoint = t->checkpoint;
@@ -334,7 +335,8 @@
         cw_task_place(t, w);
         cw_task_set_state(t, (enum cw_run_state)r->state);
         t->order_batch = 0;
-        t->proved = false;
+        t->started_wall = r->started_wall;
+        t->proved = cw_run_outlived_unproved(s, t, now);
     }
 }
 
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -2806,7 +2806,7 @@
   (ProtobufCMessageInit) cuminwalk__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[7] =
 {
   {
     "index",
@@ -2880,19 +2880,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_wall",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, started_wall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cuminwalk__job_task__field_indices_by_name[] = {
   5,   /* field[5] = checkpoint */
   3,   /* field[3] = failures */
   0,   /* field[0] = index */
   2,   /* field[2] = run */
+  6,   /* field[6] = started_wall */
   1,   /* field[1] = state */
   4,   /* field[4] = worker */
 };
 static const ProtobufCIntRange cuminwalk__job_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cuminwalk__job_task__descriptor =
 {
@@ -2902,7 +2915,7 @@
   "Cuminwalk__JobTask",
   "cuminwalk",
   sizeof(Cuminwalk__JobTask),
-  6,
+  7,
   cuminwalk__job_task__field_descriptors,
   cuminwalk__job_task__field_indices_by_name,
   1,  cuminwalk__job_task__number_ranges,
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -352,10 +352,14 @@
   uint32_t failures;
   char *worker;
   char *checkpoint;
+  /*
+   * Unix milliseconds of the start of the run; 0: unknown
+   */
+  int64_t started_wall;
 };
 #define CUMINWALK__JOB_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_task__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cuminwalk__JobProgress
--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -358,7 +358,9 @@
 
 /* TWICE: a takeover counted lease_ms for a worker that the list lacked, or
  * showed by an entry from before its restart, although a start of the former
- * scheduler to the restarted worker holds for max_hold_ms. */
+ * scheduler to the restarted worker holds for max_hold_ms. LOST: it then counted
+ * max_hold_ms anew for old runs, so that in a series of takeovers a lasting task
+ * did not run for over 20 s. */
 static void
 test_lease_of_an_unknown_worker(void **state)
 {
@@ -366,12 +368,13 @@
     enum proof { NONE, OLD_ENTRY, CURRENT_ENTRY, YOUNG_ENTRY, LISTING };
     static const struct {
         enum proof proof;
+        cw_ms run_age; /* at the takeover */
         bool longest;
-    } cases[] = {{NONE, true},
-                 {OLD_ENTRY, true},
-                 {YOUNG_ENTRY, true},
-                 {CURRENT_ENTRY, false},
-                 {LISTING, false}};
+    } cases[] = {{NONE, 0, true},          {OLD_ENTRY, 0, true},
+                 {YOUNG_ENTRY, 0, true},   {CURRENT_ENTRY, 0, false},
+                 {LISTING, 0, false},      {NONE, MAX_HOLD_MS + 4000, true},
+                 {NONE, -60000, true},     {NONE, MAX_HOLD_MS + 6000, false},
+                 {OLD_ENTRY, 60000, false}};
 
     for (size_t i = 0; i < COUNT(cases); i++) {
         struct cw_worker_entry e = {.born_wall = 1000};
@@ -386,6 +389,7 @@
         jobs_accept(&f, &s);
         jobs_commit(&f);
         row = cw_task_row(only_task());
+        f.s.wall_offset += cases[i].run_age;
         jobs_take_over(&f);
         e.current = cases[i].proof != OLD_ENTRY;
         if (cases[i].proof == YOUNG_ENTRY) {
