Jobs: record the VM of a run's worker

What callers would see: a task that waits for the longest lease, or does not run for many seconds although there is room (LOST), after its worker crashed shortly before the scheduler changed.

Cause: a takeover knew such a worker by its id only, as its entry had left the list. Its VM was back with a new worker, whose report proves that the former one has ended, but nothing connected the two. Nor did it end the runs of a worker that had left the list under the same scheduler.

--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -66,6 +66,9 @@
 /* The run is over: the task waits again. */
 void cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
                   cw_ms now);
+/* The worker is an incarnation of this VM; "": unknown. */
+void cw_worker_set_vm(struct cw_sched *s, struct cw_worker *w,
+                      struct cw_str vm);
 /* Removes the worker from the workers of its VM. */
 void cw_worker_leave_vm(struct cw_sched *s, struct cw_worker *w);
 /* A worker is one incarnation of a VM. When a later one has reported, the runs
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -220,6 +220,7 @@
         r->failures = t->failures;
         if (t->worker != NULL) {
             r->worker = t->worker->id.text;
+            r->vm = t->worker->vm.text;
             r->started_wall = t->started_wall;
         }
         if (t->state != CW_RUN_DONE) {
@@ -332,6 +333,7 @@
     }
     w = cw_sched_worker_stub(s, cw_str_from(r->worker), j->pool, now);
     if (w != NULL) {
+        cw_worker_set_vm(s, w, cw_str_from(r->vm));
         cw_task_place(t, w);
         cw_task_set_state(t, (enum cw_run_state)r->state);
         t->order_batch = 0;
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -105,24 +105,23 @@
     }
 }
 
-static void
-set_vm(struct cw_sched *s, struct cw_worker *w, const struct cw_name *vm)
+void
+cw_worker_set_vm(struct cw_sched *s, struct cw_worker *w, struct cw_str vm)
 {
     struct cw_vm_workers *v;
 
-    if (w->vm_workers != NULL && cw_name_eq(&w->vm, vm)) {
+    if (w->vm_workers != NULL && cw_str_eq(cw_name_str(&w->vm), vm)) {
         return;
     }
     cw_worker_leave_vm(s, w);
-    w->vm = *vm;
-    if (vm->len == 0) {
+    if (cw_name_set(&w->vm, vm) != CW_OK || vm.len == 0) {
         return;
     }
-    v = cw_map_get(&s->vms, cw_name_str(vm));
+    v = cw_map_get(&s->vms, vm);
     if (v == NULL) {
         v = calloc(1, sizeof(*v));
         CW_INVARIANT(v != NULL);
-        v->vm = *vm;
+        v->vm = w->vm;
         CW_INVARIANT(cw_map_put(&s->vms, v) == CW_OK);
     }
     w->vm_workers = v;
@@ -327,7 +326,7 @@
 copy_entry(struct cw_sched *s, struct cw_worker *w,
            const struct cw_worker_entry *e)
 {
-    set_vm(s, w, &e->vm);
+    cw_worker_set_vm(s, w, cw_name_str(&e->vm));
     w->address = e->address;
     w->dc = e->dc;
     w->rack = e->rack;
@@ -361,7 +360,7 @@
     }
     for (struct cw_worker *o = w->vm_workers->list; o != NULL;
          o = o->vm_next) {
-        if (o != w && o->state != CW_WORKER_GONE &&
+        if (o != w && (o->state != CW_WORKER_GONE || o->tasks != NULL) &&
             o->born_wall < w->born_wall) {
             cw_sched_worker_gone(s, cw_name_str(&o->id), now);
             cw_sched_worker_lost(s, o, CW_LOSS_REPLACED, now);
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -2806,7 +2806,7 @@
   (ProtobufCMessageInit) cuminwalk__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[8] =
 {
   {
     "index",
@@ -2892,6 +2892,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cuminwalk__job_task__field_indices_by_name[] = {
   5,   /* field[5] = checkpoint */
@@ -2900,12 +2912,13 @@
   2,   /* field[2] = run */
   6,   /* field[6] = started_wall */
   1,   /* field[1] = state */
+  7,   /* field[7] = vm */
   4,   /* field[4] = worker */
 };
 static const ProtobufCIntRange cuminwalk__job_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cuminwalk__job_task__descriptor =
 {
@@ -2915,7 +2928,7 @@
   "Cuminwalk__JobTask",
   "cuminwalk",
   sizeof(Cuminwalk__JobTask),
-  7,
+  8,
   cuminwalk__job_task__field_descriptors,
   cuminwalk__job_task__field_indices_by_name,
   1,  cuminwalk__job_task__number_ranges,
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -356,10 +356,14 @@
    * Unix milliseconds of the start of the run; 0: unknown
    */
   int64_t started_wall;
+  /*
+   * of the worker; "": unknown
+   */
+  char *vm;
 };
 #define CUMINWALK__JOB_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_task__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Cuminwalk__JobProgress
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -303,6 +303,47 @@
     assert_string_equal(f.ops[1].worker, "w2");
 }
 
+/* LOST: a worker that is gone when the scheduler changes was known by its id
+ * only, so that its tasks waited for the longest lease although its VM had a
+ * new worker that reported. */
+static void
+test_takeover_of_a_replaced_worker(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *vm; /* of the new worker */
+        bool reports;
+        bool over;
+    } cases[] = {
+        {"v1", true, true}, {"v1", false, false}, {"v2", true, false}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct cw_job_spec s = jobs_spec(7, 1, 1000);
+        struct cw_run_row row = {.job = 7};
+        struct cw_worker *w1;
+
+        jobs_add_worker(&f, "w1", "v1", 4000);
+        jobs_accept(&f, &s);
+        jobs_commit(&f);
+        jobs_answer_starts(&f, 0);
+        f.now += 1000;
+        jobs_take_over(&f);
+        w1 = cw_sched_find_task(&f.s, &row)->worker;
+        assert_string_equal(w1->id.text, "w1");
+        if (cases[i].reports) {
+            jobs_add_worker(&f, "w2", cases[i].vm, 4000);
+        }
+        else {
+            jobs_list_worker(&f, "w2", cases[i].vm, 4000);
+        }
+        assert_int_equal(w1->task_count, cases[i].over ? 0 : 1);
+        jobs_commit(&f);
+        assert_int_equal(jobs_count_ops(&f, 's'), cases[i].over ? 1 : 0);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
 /* TWICE: an entry of another writer that named the VM of a sound worker ended
  * that worker's runs, so that its tasks started elsewhere beside them, and it
  * hid the worker when its own entry came back. Nobody answers under its id. */
@@ -564,6 +605,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_later_incarnation_ends_earlier,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_takeover_of_a_replaced_worker,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_entry_of_anothers_vm, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_restarted_worker, setup,
