Fleet: an entry whose worker has not reported does not hide a VM's worker

What callers would see: a maintenance wave that ends late, as it passes a VM over for as long as an entry of another writer names it.

Cause: the newest entry that names a VM counted as its worker. One of another writer names a worker that nobody reaches, so that the VM looked busy.

Evidence: test_odd_entry_does_not_hide_a_vm failed before (the odd worker was the VM's).

Change: a worker that has reported since the takeover matches before one that has not, and only among equals the newer one.

--- a/packages/jobd/fleet.c
+++ b/packages/jobd/fleet.c
@@ -149,6 +149,17 @@
     return false;
 }
 
+/* The worker is a better match for its VM: an entry whose worker has not
+ * reported may name another worker's VM. */
+static bool
+matches_better(const struct cw_worker *w, const struct cw_worker *than)
+{
+    if (than == NULL || w->contacted != than->contacted) {
+        return than == NULL || w->contacted;
+    }
+    return w->born_wall > than->born_wall;
+}
+
 /* Finds the newest worker of each VM. */
 static void
 match_workers(struct cw_jobd *d)
@@ -164,8 +175,7 @@
                 continue;
             }
             v = cw_map_get(&d->fleet->vms, cw_name_str(&w->vm));
-            if (v != NULL &&
-                (v->worker == NULL || v->worker->born_wall < w->born_wall)) {
+            if (v != NULL && matches_better(w, v->worker)) {
                 v->worker = w;
             }
         }
--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -239,6 +239,33 @@
     r->move_count++;
 }
 
+static void
+list_vms(void *ctx, struct cw_str page, cw_ms timeout, cw_vm_page_done done,
+         void *arg)
+{
+    struct rig *r = ctx;
+
+    (void)page;
+    (void)timeout;
+    CW_INVARIANT(!r->vms.open);
+    r->vms = (struct rig_call){true, arg, NULL, {.vms = done}};
+}
+
+void
+rig_list_vm(struct rig *r)
+{
+    struct cw_vm_row row = {.phase = CW_VM_UP, .capacity = {4000, 4000, 0}};
+    struct cw_vm_page page = {&row, 1, {0}};
+    struct rig_call c = r->vms;
+
+    (void)cw_name_set(&row.vm, CW_LIT("m-1"));
+    (void)cw_name_set(&row.pool, CW_LIT(JOBS_SERVICE));
+    (void)cw_name_set(&row.worker, CW_LIT("w-1"));
+    CW_INVARIANT(c.open);
+    r->vms.open = false;
+    c.u.vms(c.arg, CW_OK, &page);
+}
+
 void
 rig_answer_move(struct rig *r, enum cw_status s)
 {
@@ -276,6 +303,7 @@
     d->ports.exec = (struct cw_exec_port){conn_open, conn_close, start,
                                           stop,      pace,       poll_report};
     d->ports.vmctl.move = move;
+    d->ports.vmctl.list = list_vms;
     d->config.version = 1;
     d->in_group = true;
     d->store_ok = true;
@@ -309,6 +337,9 @@
     if (r->published.open) {
         r->published.u.done(r->published.arg, CW_ERR_UNKNOWN);
     }
+    if (r->vms.open) {
+        r->vms.u.vms(r->vms.arg, CW_ERR_UNKNOWN, NULL);
+    }
     if (r->move.open) {
         rig_answer_move(r, CW_ERR_UNKNOWN);
     }
--- a/tests/jobd_rig.h
+++ b/tests/jobd_rig.h
@@ -23,6 +23,7 @@
         cw_start_done start;
         cw_worker_done order;
         cw_report_done report;
+        cw_vm_page_done vms;
     } u;
 };
 
@@ -50,6 +51,7 @@
     struct rig_call jobs;    /* read of the records of jobs */
     struct rig_call workers; /* read of the list of workers */
     struct rig_call owner;
+    struct rig_call vms;  /* read of the list of VMs */
     struct rig_call move; /* of a VM */
     struct rig_call published;
     cw_ms publish_timeout;
@@ -96,6 +98,8 @@
 void rig_report(struct rig *r, const struct cw_run_row *rows, size_t n);
 /* Answers it with this report. */
 void rig_answer_report(struct rig *r, struct cw_run_report *rep);
+/* Answers the open read of the list of VMs: the worker's VM is up. */
+void rig_list_vm(struct rig *r);
 /* Answers the open move of a VM. */
 void rig_answer_move(struct rig *r, enum cw_status s);
 /* Sets the end of the membership relative to now. */
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 
 #include "agents_int.h"
+#include "fleet_int.h"
 #include "jobd_rig.h"
 #include "jobs_util.h"
 
@@ -342,6 +343,27 @@
     assert_true(t->proved);
 }
 
+/* A maintenance wave passed a VM over for as long as an entry of another
+ * writer named it: the entry's worker, which nobody can reach, counted as the
+ * VM's. */
+static void
+test_odd_entry_does_not_hide_a_vm(void **state)
+{
+    struct cw_worker_entry e = rig_worker_entry();
+    struct cw_name vm = e.vm;
+
+    (void)state;
+    e.born_wall = 2;
+    (void)cw_name_set(&e.id, CW_LIT("x"));
+    assert_non_null(cw_sched_worker_listed(rig.d.sched, &e, rig.clock.now));
+    cw_fleet_tick(&rig.d, rig.clock.now);
+    rig_list_vm(&rig);
+    rig_advance(&rig, 200);
+    rig_set_membership(&rig, 900);
+    cw_fleet_tick(&rig.d, rig.clock.now);
+    assert_ptr_equal(cw_fleet_vm_get(&rig.d, &vm)->worker, rig.worker);
+}
+
 /* The address of the connection that an open call was sent on. */
 static const char *
 sent_to(const struct rig_call *c)
@@ -503,6 +525,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(
             test_list_proves_what_was_written_since, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_odd_entry_does_not_hide_a_vm,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_restart_at_another_address, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(
