--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -358,9 +358,9 @@
 
 /* TWICE: a takeover counted lease_ms for a worker that the list lacked, or
  * showed by an entry from before its restart, although a start of the former
- * scheduler to the restarted worker holds for max_hold_ms. LOST: it then counted
- * max_hold_ms anew for old runs, so that in a series of takeovers a lasting task
- * did not run for over 20 s. */
+ * scheduler to the restarted worker holds for max_hold_ms. LOST: it then
+ * counted max_hold_ms anew for old runs, so that in a series of takeovers a
+ * lasting task did not run for over 20 s. */
 static void
 test_lease_of_an_unknown_worker(void **state)
 {
