--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -135,7 +135,7 @@
     struct cw_task *unsent_next; /* in cw_sched.unsent */
     uint64_t order_batch; /* batch with the latest start, 0: loaded record */
     cw_ms state_since;
-    cw_ms started_wall; /* of the latest run; 0: unknown */
+    cw_ms started_wall;     /* of the latest run; 0: unknown */
     cw_ms stop_answered_at; /* the worker acknowledged a stop; 0: not yet */
     uint32_t last_report;   /* number of the worker's last report with it */
     cw_ms ready_at;         /* it could start from then on */
@@ -207,12 +207,12 @@
     uint8_t slowdown_percent; /* taken off the speed of its backfill tasks */
     cw_ms paced_at;           /* last change of slowdown_percent */
     bool maintenance_due; /* maintenance is due soon: avoid lasting tasks */
-    bool cordoned;  /* accepts no new tasks before maintenance or a move */
-    bool reserved;  /* within one plan: kept free for a waiting task */
-    bool contacted; /* has reported since this scheduler began */
+    bool cordoned;   /* accepts no new tasks before maintenance or a move */
+    bool reserved;   /* within one plan: kept free for a waiting task */
+    bool contacted;  /* has reported since this scheduler began */
     bool has_strays; /* its last report lists runs of no known task, which
                       * take room that is not in used */
-    cw_ms seen_at;  /* last report */
+    cw_ms seen_at;   /* last report */
     cw_ms gone_at;
     cw_ms listed_at;        /* its entry was last in the list of workers */
     cw_ms idle_at;          /* has had no task since */
