Agents: an idle connection that was closed is not a worker's habit

What callers would see: a task on a worker that is lost waits up to 12 s instead of 4.8 s, when the worker had been idle for some seconds before.

Cause: two reports in a row on new connections made a worker one that closes each, whose leases count for max_hold_ms. A connection is closed on this side after 5 s without a call, so that a worker with a task now and then looked the same.

Change: a report on a new connection counts only when it was asked for within 1 s of the one before.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -13,9 +13,11 @@
 /* Long-poll time of a report without a renewal, so that renewals resume soon
  * after the membership. */
 #define UNRENEWED_WAIT_MS 250
-/* Reports in a row on connections that had carried none, after which the
- * worker counts as one that closes each connection. */
+/* A worker counts as one that closes each connection after so many reports in
+ * a row on new ones, each asked for soon after the one before: an idle
+ * connection is closed on this side too, after some seconds. */
 #define UNPROVED_REPORTS_MAX 2
+#define REUSE_MS 1000
 /* After a run has ended, the next report carries its acknowledgement and so
  * waits for the commit, but no longer than this. */
 #define ACK_WAIT_MS 200
@@ -107,6 +109,15 @@
     w->retry_at = now + UNANSWERED_PAUSE_MS;
 }
 
+static void
+count_unproved(struct cw_agent *a, bool proved, cw_ms now)
+{
+    bool soon = a->report_sent - a->answered_at < REUSE_MS;
+
+    a->unproved_reports = soon && !proved ? a->unproved_reports + 1 : 0;
+    a->answered_at = now;
+}
+
 static void
 on_report(void *arg, enum cw_status s, struct cw_run_report *r)
 {
@@ -133,7 +144,7 @@
         }
         a->failures = 0;
         a->next_report_at = now + cw_loop_lag_report_delay(&d->lag);
-        a->unproved_reports = r->proved ? 0 : a->unproved_reports + 1;
+        count_unproved(a, r->proved, now);
         if (r->proved || a->acked_unproved) {
             a->acked_sent = a->report_acked;
         }
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -153,6 +153,36 @@
     assert_false(o->until_unproved || o->acked_unproved);
 }
 
+/* Guards against runs that count for max_hold_ms on a sound worker: after an
+ * idle time its connection is new, which does not make it one that closes
+ * each.
+ */
+static void
+test_idle_connections_are_no_closed_ones(void **state)
+{
+    (void)state;
+    for (uint64_t id = 1; id <= 4; id++) {
+        struct cw_task *t = rig_run_task(&rig, id);
+        struct cw_run_row row = cw_task_row(t);
+
+        rig_set_membership(&rig, 60000);
+        cw_agents_scan(&rig.d, rig.clock.now);
+        answer_running(&row, false);
+        assert_false(rig.report_order.until_unproved);
+        assert_false(rig.report_order.acked_unproved);
+        (void)cw_sched_cancel(rig.d.sched, id, rig.clock.now);
+        rig_commit(&rig, CW_OK);
+        rig_answer_orders(&rig);
+        for (int i = 0; i < 2; i++) {
+            rig_advance(&rig, 100);
+            answer_idle(true);
+        }
+        assert_false(rig.report.open);
+        rig_advance(&rig, 6000);
+        rig_set_membership(&rig, 60000);
+    }
+}
+
 /* ---- silent and restarted workers ---- */
 
 /* Ends the open call for a report without an answer. */
@@ -515,6 +545,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_worker_that_closes_connections,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_idle_connections_are_no_closed_ones, setup, teardown),
         cmocka_unit_test_setup_teardown(
             test_calls_to_a_silent_worker_renew_nothing, setup, teardown),
         cmocka_unit_test_setup_teardown(test_repeats_of_a_start, setup,
