Tests: reserve the ports of the programs that they start

Cause: a test looked for a free port, closed it, and started its program later; in between another test, or an outgoing connection, could get the port.

Change: the test keeps a bound socket that does not listen: for test_jobd until the daemon listens, for the processes until the test ends.

--- a/tests/proc.c
+++ b/tests/proc.c
@@ -1,16 +1,15 @@
 /* Starts, signals and stops real processes for tests. */
 #include "proc.h"
 
-#include <arpa/inet.h>
+#include "port.h"
+
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -84,21 +83,6 @@
     remove_dir(e->dir);
 }
 
-static bool
-port_is_free(int port)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET,
-                            .sin_port = htons((uint16_t)port)};
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    bool ok =
-        bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0 && listen(fd, 1) == 0;
-    close(fd);
-    return ok;
-}
-
 int
 proc_free_port(void)
 {
@@ -112,8 +96,8 @@
     }
     for (int tries = 0; tries < PORT_COUNT; tries++) {
         int port = PORT_FIRST + (int)(next++ % PORT_COUNT);
-        if (port_is_free(port)) {
-            return port;
+        if (port_reserve(port) >= 0) {
+            return port; /* until this program ends */
         }
     }
     cw_invariant_failed("a free port", __FILE__, __LINE__);
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -11,6 +11,9 @@
 #include "cw_jobd.h"
 #include "jobs_fake.h"
 #include "platform_int.h"
+#include "port.h"
+
+#include <unistd.h>
 
 #define DAEMONS 2
 /* Timeout of a wait for an event; long because the machine may be busy. */
@@ -139,25 +142,17 @@
            strstr(r.body, s->state) != NULL;
 }
 
-static void
+/* Returns the socket that reserves the address. */
+static int
 pick_free_address(struct cw_name *out)
 {
-    uv_tcp_t tcp;
-    struct sockaddr_in sa;
-    struct sockaddr_storage bound;
-    int len = sizeof(bound);
     char text[32];
+    int fd = port_reserve(0);
 
-    assert_int_equal(uv_tcp_init(&loop, &tcp), 0);
-    assert_int_equal(uv_ip4_addr("127.0.0.1", 0, &sa), 0);
-    assert_int_equal(uv_tcp_bind(&tcp, (struct sockaddr *)&sa, 0), 0);
-    assert_int_equal(uv_tcp_getsockname(&tcp, (struct sockaddr *)&bound, &len),
-                     0);
-    (void)snprintf(text, sizeof(text), "127.0.0.1:%u",
-                   ntohs(((struct sockaddr_in *)&bound)->sin_port));
+    assert_true(fd >= 0);
+    (void)snprintf(text, sizeof(text), "127.0.0.1:%d", port_of(fd));
     (void)cw_name_set(out, cw_str_from(text));
-    uv_close((uv_handle_t *)&tcp, NULL);
-    uv_run(&loop, UV_RUN_NOWAIT);
+    return fd;
 }
 
 static void
@@ -167,9 +162,10 @@
     struct cw_faults faults = {0};
     char json[512];
     struct cw_name a[3];
+    int reserved[3];
 
     for (size_t k = 0; k < 3; k++) {
-        pick_free_address(&a[k]);
+        reserved[k] = pick_free_address(&a[k]);
     }
     memset(d, 0, sizeof(*d));
     (void)snprintf(json, sizeof(json),
@@ -186,6 +182,9 @@
     pf_record_port(&d->ports);
     fake_ports(&fake, &d->ports);
     assert_int_equal(cw_jobd_start(d), CW_OK);
+    for (size_t k = 0; k < 3; k++) {
+        close(reserved[k]);
+    }
     running[i] = true;
     assert_int_equal(cw_http_client_init(&clients[i], &loop, a[0].text),
                      CW_OK);
