--- a/tests/port.c
+++ b/tests/port.c
@@ -25,7 +25,7 @@
 int
 port_of(int fd)
 {
-    struct sockaddr_in a;
+    struct sockaddr_in a = {0};
     socklen_t len = sizeof(a);
 
     if (getsockname(fd, (struct sockaddr *)&a, &len) != 0) {
