Jobs: the log names the proof behind each start

Cause: the proof (which answer, to a call sent when) was known only where it was applied, and not kept.

Change: cw_run_given_up notes for each task the previous run, the proof of its end, the send time of the call whose answer is the proof (or the end of the lease that counted), the incarnation that gave it, and the cause of a stop. run_given_up is logged for all reasons but done, and at debug for starts that were never sent; start names path, previous run, proof and its age, stop cause and the run beside which a copy starts; a takeover logs takeover_runs, one line a worker with runs, or the sums for more than 20 workers. cuminwalk_runs_given_up_total counts by proof. A start of run 1 stays at debug. No decision reads the new fields. The reasons "done" (a lasting task) and "obsolete" (a later run, when an earlier one is done after all) were logged as "ended" before, or not at all.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -104,7 +104,12 @@
     }
     a->report_due = now + REPORT_RETRY_MS;
     if (s == CW_ERR_NOT_FOUND) {
+        struct cw_answered_call answered = d->sched->answered;
+
+        d->sched->answered =
+            (struct cw_answered_call){.sent_at = a->report_sent};
         cw_sched_worker_lost(d->sched, w, CW_LOSS_OTHER, now);
+        d->sched->answered = answered;
     }
     w->retry_at = now + UNANSWERED_PAUSE_MS;
 }
--- a/packages/jobd/agents_int.h
+++ b/packages/jobd/agents_int.h
@@ -20,6 +20,7 @@
     bool unanswered; /* was sent without an answer: may have arrived */
     bool withheld;   /* waits for a valid membership; counted */
     cw_ms due;
+    cw_ms sent_at; /* latest call */
 };
 
 struct cw_agent {
--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -83,6 +83,20 @@
     return true;
 }
 
+static void
+apply_start_answer(struct order *o, enum cw_start_answer answer, bool unsent,
+                   cw_ms now)
+{
+    struct cw_sched *s = o->agent->d->sched;
+    struct cw_answered_call answered = s->answered;
+
+    s->answered =
+        (struct cw_answered_call){.sent_at = o->sent_at, .unsent = unsent};
+    cw_sched_start_answered(s, o->agent->worker, &o->row, answer,
+                            o->unanswered, now);
+    s->answered = answered;
+}
+
 static void
 on_start(void *arg, enum cw_status s, enum cw_start_answer answer,
          int64_t clock_ms)
@@ -105,8 +119,7 @@
                    (unsigned long long)o->row.job, o->row.occurrence,
                    o->row.step, o->row.index, o->row.run, w->id.text, answer);
         }
-        cw_sched_start_answered(d->sched, w, &o->row, answer, o->unanswered,
-                                now);
+        apply_start_answer(o, answer, false, now);
         cw_sched_start_clock(d->sched, w, &o->row, clock_ms, now);
         free(o);
     }
@@ -123,8 +136,7 @@
             free(o);
         }
         else if (!o->unanswered && o->tries >= START_ATTEMPTS_MAX) {
-            cw_sched_start_answered(d->sched, w, &o->row, CW_START_REFUSED,
-                                    false, now);
+            apply_start_answer(o, CW_START_REFUSED, true, now);
             free(o);
         }
         else {
@@ -158,6 +170,18 @@
     requeue_order(o, STRAY_STOP_RETRY_MS, now);
 }
 
+/* Another incarnation answered: what ran on the worker has ended. */
+static void
+worker_replaced(const struct order *o, cw_ms now)
+{
+    struct cw_sched *s = o->agent->d->sched;
+    struct cw_answered_call answered = s->answered;
+
+    s->answered = (struct cw_answered_call){.sent_at = o->sent_at};
+    cw_sched_worker_lost(s, o->agent->worker, CW_LOSS_OTHER, now);
+    s->answered = answered;
+}
+
 static void
 on_stop_or_pace(void *arg, enum cw_status s)
 {
@@ -172,7 +196,7 @@
     }
     t = order_task(o);
     if (s == CW_ERR_NOT_FOUND) {
-        cw_sched_worker_lost(d->sched, a->worker, CW_LOSS_OTHER, now);
+        worker_replaced(o, now);
         free(o);
     }
     else if (s == CW_OK && o->kind == ORDER_STOP) {
@@ -238,6 +262,7 @@
         return;
     }
     a->in_flight++;
+    o->sent_at = now;
     switch (o->kind) {
     case ORDER_START:
         send_start(a, o, t, now);
@@ -308,19 +333,28 @@
     struct cw_jobd *d = ctx;
     struct cw_run_row row = cw_task_row(t);
     struct cw_agent *a = cw_agent_get(d, t->worker);
+    const struct cw_run_previous *p = &t->previous;
+    cw_ms now = cw_jobd_now(d);
 
     if (a == NULL) {
         return;
     }
     cw_log(row.run > 1 ? CW_INFO : CW_DEBUG, "start",
            "job=%016llx task=%u.%u.%u run=%u worker=%s born=%lld epoch=%llu "
-           "member_left_ms=%lld",
+           "member_left_ms=%lld path=%s after_run=%u after=%s "
+           "after_age_ms=%lld after_born=%lld stop=%s beside_run=%u "
+           "beside_worker=%s",
            (unsigned long long)row.job, row.occurrence, row.step, row.index,
            row.run, t->worker->id.text, (long long)t->worker->born_wall,
            (unsigned long long)d->epoch,
-           (long long)(d->member_valid_until - cw_jobd_now(d)));
+           (long long)(d->member_valid_until - now), cw_start_path(t), p->run,
+           cw_run_proof_name(p->proof),
+           (long long)(p->proof_at == 0 ? -1 : now - p->proof_at),
+           (long long)p->born_wall, cw_stop_cause_name(p->stop_cause),
+           t->former == NULL ? 0 : t->former->run,
+           t->former == NULL ? "" : t->former->worker->id.text);
     (void)new_order(a, ORDER_START, &row);
-    cw_agent_send_orders(a, cw_jobd_now(d));
+    cw_agent_send_orders(a, now);
 }
 
 static void
--- a/packages/jobd/fleet_waves.c
+++ b/packages/jobd/fleet_waves.c
@@ -147,7 +147,7 @@
                    t->index, v->worker->id.text, v->name.text,
                    cw_step_unavailable(t, now), cw_task_step(t)->may_miss,
                    why);
-            cw_sched_stop_task(d->sched, t, now);
+            cw_sched_stop_task_for(d->sched, t, CW_STOP_MOVED, now);
         }
         t = next;
     }
--- a/packages/jobd/jobd.c
+++ b/packages/jobd/jobd.c
@@ -130,6 +130,10 @@
                 c->first_won);
     add_counted(d, "cuminwalk_copies_total", "second_won", &last->second_won,
                 c->second_won);
+    for (enum cw_run_proof i = CW_PROOF_REPORT_END; i < CW_PROOF_COUNT; i++) {
+        add_counted(d, "cuminwalk_runs_given_up_total", cw_run_proof_name(i),
+                    &d->sched->counted.given_up[i], d->sched->given_up[i]);
+    }
 }
 
 static void
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -103,6 +103,7 @@
 static void
 become_scheduler(struct cw_jobd *d, cw_ms now)
 {
+    d->sched->epoch = d->epoch;
     cw_sched_loaded(d->sched, now);
     if (d->config.version > 0) {
         cw_sched_set_tenants(d->sched, d->config.tenants,
--- a/packages/jobd/tenants.c
+++ b/packages/jobd/tenants.c
@@ -87,7 +87,7 @@
                      1000;
         }
         cw_jobd_count(d, "cuminwalk_preemptions_total", "");
-        cw_sched_stop_task(d->sched, v[i].task, now);
+        cw_sched_stop_task_for(d->sched, v[i].task, CW_STOP_PREEMPTED, now);
     }
 }
 
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -189,9 +189,21 @@
 /* Stops a task's run; after its end the task waits again, unless its job has
  * ended. */
 void cw_sched_stop_task(struct cw_sched *s, struct cw_task *t, cw_ms now);
+/* The same, and the log of the next start names the cause. */
+void cw_sched_stop_task_for(struct cw_sched *s, struct cw_task *t,
+                            enum cw_stop_cause cause, cw_ms now);
 /* Names a task's current run. */
 struct cw_run_row cw_task_row(const struct cw_task *t);
 
+/* ---- jobs_given_up.c ---- */
+
+/* Names in logs and metrics. */
+const char *cw_run_proof_name(enum cw_run_proof p);
+const char *cw_stop_cause_name(enum cw_stop_cause c);
+/* The path that led to a task's latest start: "new" (nothing of it has run),
+ * "repeat" or "copy" (besides a run that is not over). */
+const char *cw_start_path(const struct cw_task *t);
+
 /* ---- jobs_times.c ---- */
 
 /* Finds or adds the entry of a queue; NULL when the pool has too many. */
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -46,8 +46,14 @@
 
 /* Changes the state of a task, and the counters of its job. */
 void cw_task_set_state(struct cw_task *t, enum cw_run_state st);
-/* The run ended without success: the task waits again. Logs each run whose
- * end the worker has not reported. */
+/* Notes and logs that a run no longer counts as alive, and what proves it.
+ * Call before the run leaves its worker. */
+void cw_run_given_up(struct cw_sched *s, struct cw_task *t,
+                     enum cw_run_loss why, cw_ms now);
+/* Logs the runs that were loaded at a takeover, and how long their leases may
+ * last. */
+void cw_log_loaded_runs(const struct cw_sched *s, cw_ms now);
+/* The run ended without success: the task waits again. */
 void cw_task_requeue(struct cw_sched *s, struct cw_task *t,
                      enum cw_run_loss why, cw_ms now);
 /* The worker restarted under its id: ends, acknowledgements and clock of the
--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -115,6 +115,8 @@
 /* Why a run no longer counts as alive, so that its task waits again. */
 enum cw_run_loss {
     CW_LOSS_ENDED,    /* the worker reported its end */
+    CW_LOSS_DONE,     /* the same of a lasting task that is done */
+    CW_LOSS_OBSOLETE, /* an earlier run is done; this one is being stopped */
     CW_LOSS_UNSENT,   /* its start was dropped before it was sent */
     CW_LOSS_REFUSED,  /* the worker refused its start */
     CW_LOSS_UNLISTED, /* a report does not list it */
@@ -123,6 +125,50 @@
     CW_LOSS_OTHER,    /* another worker answers at the address */
 };
 
+/* What shows that a run is over, so that the next one may start. */
+enum cw_run_proof {
+    CW_PROOF_NONE,         /* there was no run */
+    CW_PROOF_REPORT_END,   /* a report lists its end */
+    CW_PROOF_REPORT,       /* a report does not list the run */
+    CW_PROOF_STOP_ANSWER,  /* the same, after the answer to a stop */
+    CW_PROOF_START_ANSWER, /* the start was refused */
+    CW_PROOF_OTHER_WORKER, /* another incarnation answered a call */
+    CW_PROOF_LATER_WORKER, /* a later worker of its VM reported */
+    CW_PROOF_LEASE,        /* its lease has lapsed */
+    CW_PROOF_UNSENT,       /* its start was never sent */
+    CW_PROOF_DONE,         /* none is needed: an earlier run is done */
+    CW_PROOF_RECORD,       /* a loaded record has no run of the task */
+    CW_PROOF_COUNT,
+};
+
+/* Why a run is stopped. */
+enum cw_stop_cause {
+    CW_STOP_NONE,      /* not stopped, or its task does not start again */
+    CW_STOP_REFUSED,   /* its start was refused but may still take effect */
+    CW_STOP_GANG,      /* another member of its gang is missing */
+    CW_STOP_REPLACED,  /* it is overdue */
+    CW_STOP_PREEMPTED, /* a task of a higher priority needs its room */
+    CW_STOP_MOVED,     /* its VM is due for maintenance or a move */
+    CW_STOP_DRAINING,  /* its worker leaves */
+};
+
+/* The run before a task's current one, and the proof of its end. */
+struct cw_run_previous {
+    uint32_t run;       /* 0: none */
+    uint8_t proof;      /* enum cw_run_proof */
+    uint8_t stop_cause; /* enum cw_stop_cause */
+    cw_ms proof_at;     /* the call whose answer is the proof was sent, or the
+                         * lease ended; 0: unknown */
+    int64_t born_wall;  /* incarnation that the proof comes from */
+};
+
+/* The call whose answer is being applied. */
+struct cw_answered_call {
+    cw_ms sent_at;                /* 0: no answer is being applied */
+    const struct cw_worker *from; /* NULL: the worker of the run */
+    bool unsent;                  /* the call never reached the worker */
+};
+
 struct cw_job_entry;
 struct cw_worker;
 struct cw_tenant;
@@ -156,10 +202,12 @@
     bool pace_first;        /* slowed down before other backfill tasks */
     cw_ms checkpoint_at;    /* the last checkpoint was reported; 0: none */
     struct cw_run_progress progress;
-    uint8_t saved_percent;     /* progress at the checkpoint */
-    bool replaced;             /* was overdue and has been started elsewhere */
-    struct cw_task *former;    /* an earlier run that is not over, or NULL */
-    struct cw_task *former_of; /* this is one; on its worker's list only */
+    uint8_t saved_percent; /* progress at the checkpoint */
+    bool replaced;         /* was overdue and has been started elsewhere */
+    uint8_t stop_cause;    /* enum cw_stop_cause, of the latest run */
+    struct cw_run_previous previous;
+    struct cw_task *former;      /* an earlier run that is not over, or NULL */
+    struct cw_task *former_of;   /* this is one; on its worker's list only */
     struct cw_name avoid_worker; /* the worker of the last failure */
     char checkpoint[CW_CHECKPOINT_MAX + 1];
 };
@@ -474,9 +522,14 @@
         uint64_t quota_holds;
         uint64_t over_share_jobs;
         struct cw_replace_counts replaced;
-    } counted;           /* of these, in the daemon's metrics */
-    uint64_t batch;      /* number of the open batch */
-    uint64_t committed;  /* batches up to here are durable */
+        uint64_t given_up[CW_PROOF_COUNT];
+    } counted;                         /* of these, in the daemon's metrics */
+    uint64_t given_up[CW_PROOF_COUNT]; /* runs, by the proof of their end */
+    struct cw_answered_call answered;  /* set by the owner for starts, stops
+                                        * and failed reports */
+    uint64_t epoch;                    /* of this scheduler, for the log */
+    uint64_t batch;                    /* number of the open batch */
+    uint64_t committed;                /* batches up to here are durable */
     cw_ms wall_offset;   /* wall time minus monotonic, an estimate */
     bool plan_due;       /* of at least one pool */
     bool uneven_workers; /* learns the speeds of workers and acts on them */
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -176,6 +176,7 @@
         }
         cw_pool_plan_soon(s, p);
     }
+    cw_log_loaded_runs(s, now);
 }
 
 void
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -336,6 +336,8 @@
         return;
     }
     if (r->worker[0] == '\0') {
+        t->previous = (struct cw_run_previous){
+            .run = r->run, .proof = CW_PROOF_RECORD, .proof_at = now};
         return;
     }
     w = cw_sched_worker_stub(s, cw_str_from(r->worker), j->pool, now);
--- a/packages/jobs/jobs_replace.c
+++ b/packages/jobs/jobs_replace.c
@@ -261,7 +261,7 @@
     t->replaced = true;
     t->avoid_worker = t->worker->id;
     if (a == CW_REPLACE_RESTART) {
-        cw_sched_stop_task(sc->s, t, sc->now);
+        cw_sched_stop_task_for(sc->s, t, CW_STOP_REPLACED, sc->now);
     }
     else if (cw_task_leave_run(t)) {
         cw_plan_start_copy(sc->s, t, to, sc->now);
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -169,7 +169,7 @@
         cw_worker_run_done(s, w, t, now);
     }
     if (cw_task_step(t)->lasting) {
-        cw_task_requeue(s, t, CW_LOSS_ENDED, now);
+        cw_task_requeue(s, t, CW_LOSS_DONE, now);
         return;
     }
     if (t->state == CW_RUN_RUNNING && t->checkpoint[0] == '\0') {
@@ -226,7 +226,7 @@
     if (t->worker->retry_at < now + STOP_PAUSE_MS) {
         t->worker->retry_at = now + STOP_PAUSE_MS;
     }
-    cw_task_requeue(s, t, CW_LOSS_ENDED, now);
+    cw_task_requeue(s, t, CW_LOSS_OBSOLETE, now);
 }
 
 /* A run that was given up is done after all. Its task is done, whatever has
@@ -291,6 +291,8 @@
     else if (how == CW_END_FAILED) {
         record_worker_outcome(w, j, false, now);
     }
+    cw_run_given_up(s, o, how == CW_END_DONE ? CW_LOSS_DONE : CW_LOSS_ENDED,
+                    now);
     if (!counts) {
         cw_task_end_former(s, o, now);
         return;
@@ -450,6 +452,8 @@
 cw_sched_report(struct cw_sched *s, struct cw_worker *w,
                 const struct cw_run_report *r, cw_ms now)
 {
+    struct cw_answered_call answered = s->answered;
+
     if (r->born_wall != 0 && r->born_wall != w->born_wall) {
         if (r->born_wall < w->born_wall &&
             !cw_worker_clock_went_back(w, r, now)) {
@@ -463,6 +467,7 @@
     w->seen_at = now;
     w->earlier_born = 0;
     w->reports++;
+    s->answered = (struct cw_answered_call){.sent_at = r->sent_at, .from = w};
     if (!w->contacted) {
         w->contacted = true;
         cw_worker_end_earlier(s, w, now);
@@ -485,6 +490,7 @@
         cw_stray_reported(s, w, r->sent_at);
     }
     cw_sched_learn_interference(s, w, now);
+    s->answered = answered;
     return true;
 }
 
@@ -519,7 +525,7 @@
         if (o != t && o->occurrence == t->occurrence && o->step == t->step &&
             o->run == t->run &&
             (o->state == CW_RUN_STARTING || o->state == CW_RUN_RUNNING)) {
-            cw_sched_stop_task(s, o, now);
+            cw_sched_stop_task_for(s, o, CW_STOP_GANG, now);
         }
     }
 }
@@ -558,7 +564,7 @@
     else if (a != CW_START_STALE) {
         /* The earlier send may still take effect: the stop makes the worker
          * reject it. */
-        cw_sched_stop_task(s, t, now);
+        cw_sched_stop_task_for(s, t, CW_STOP_REFUSED, now);
     }
     else if (t->state == CW_RUN_STARTING) {
         /* The earlier send took effect and the run has ended: the next report
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -235,35 +235,12 @@
                                .run = t->run};
 }
 
-static void
-log_run_given_up(const struct cw_task *t, enum cw_run_loss why, cw_ms now)
-{
-    static const char *const reasons[] = {
-        [CW_LOSS_ENDED] = "ended",        [CW_LOSS_UNSENT] = "unsent",
-        [CW_LOSS_REFUSED] = "refused",    [CW_LOSS_UNLISTED] = "unlisted",
-        [CW_LOSS_LAPSED] = "lapsed",      [CW_LOSS_REPLACED] = "replaced",
-        [CW_LOSS_OTHER] = "other_worker",
-    };
-    static const char *const states[] = {"waiting", "starting", "running",
-                                         "stopping", "done"};
-    const struct cw_worker *w = t->worker;
-
-    cw_log(CW_INFO, "run_given_up",
-           "job=%016llx task=%u.%u.%u run=%u worker=%s born=%lld reason=%s "
-           "state=%s state_ms=%lld silent_ms=%lld lease_left_ms=%lld",
-           (unsigned long long)t->job->id, t->occurrence, t->step, t->index,
-           t->run, w->id.text, (long long)w->born_wall, reasons[why],
-           states[t->state], (long long)(now - t->state_since),
-           (long long)(w->seen_at == 0 ? -1 : now - w->seen_at),
-           (long long)(w->lapse_at - now));
-}
-
 void
 cw_task_requeue(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
                 cw_ms now)
 {
-    if (why != CW_LOSS_ENDED && why != CW_LOSS_UNSENT && t->worker != NULL) {
-        log_run_given_up(t, why, now);
+    if (t->worker != NULL) {
+        cw_run_given_up(s, t, why, now);
         if (why == CW_LOSS_LAPSED) {
             cw_worker_begin_ramp(s, t->worker, now);
         }
@@ -322,6 +299,16 @@
     s->ops->stop(s->ctx, t->worker, &row);
 }
 
+void
+cw_sched_stop_task_for(struct cw_sched *s, struct cw_task *t,
+                       enum cw_stop_cause cause, cw_ms now)
+{
+    if (t->worker != NULL && t->state != CW_RUN_STOPPING) {
+        t->stop_cause = (uint8_t)cause;
+    }
+    cw_sched_stop_task(s, t, now);
+}
+
 void
 cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
              cw_ms now)
@@ -367,7 +354,7 @@
         struct cw_task *next = t->next;
 
         if (cw_task_step(t)->lasting) {
-            cw_sched_stop_task(s, t, now);
+            cw_sched_stop_task_for(s, t, CW_STOP_DRAINING, now);
         }
         t = next;
     }
