Jobd: update the counters of given-up runs only when they change

Cause: ten labels were formatted and looked up on each tick of the scheduler, though runs are given up rarely; processor time of the daemon is charged.

Change: cw_jobd_count_given_up compares the counts first. It is a function of its own so that a test can call it.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -278,6 +278,9 @@
 
 /* Metrics with an optional label kind ("" for none). */
 void cw_jobd_count(struct cw_jobd *d, const char *name, const char *kind);
+/* Adds the runs that the scheduler has given up since the last call to
+ * cuminwalk_runs_given_up_total. */
+void cw_jobd_count_given_up(struct cw_jobd *d);
 void cw_jobd_record_ms(struct cw_jobd *d, const char *name, const char *kind,
                        cw_ms ms);
 
--- a/packages/jobd/jobd.c
+++ b/packages/jobd/jobd.c
@@ -95,6 +95,20 @@
     }
 }
 
+void
+cw_jobd_count_given_up(struct cw_jobd *d)
+{
+    struct cw_sched *s = d->sched;
+
+    for (enum cw_run_proof i = CW_PROOF_REPORT_END; i < CW_PROOF_COUNT; i++) {
+        if (s->counted.given_up[i] != s->given_up[i]) {
+            add_counted(d, "cuminwalk_runs_given_up_total",
+                        cw_run_proof_name(i), &s->counted.given_up[i],
+                        s->given_up[i]);
+        }
+    }
+}
+
 /* Finds slow workers and replaces overdue tasks. */
 static void
 watch_workers(struct cw_jobd *d, cw_ms now)
@@ -130,10 +144,7 @@
                 c->first_won);
     add_counted(d, "cuminwalk_copies_total", "second_won", &last->second_won,
                 c->second_won);
-    for (enum cw_run_proof i = CW_PROOF_REPORT_END; i < CW_PROOF_COUNT; i++) {
-        add_counted(d, "cuminwalk_runs_given_up_total", cw_run_proof_name(i),
-                    &d->sched->counted.given_up[i], d->sched->given_up[i]);
-    }
+    cw_jobd_count_given_up(d);
 }
 
 static void
