Tests: the first send of a repeated start, at a restarted worker (fails)

A start without an answer is repeated; the answer to the repeat, or to a stop, counts for all sends of it. Both bind one incarnation. After a restart under the worker's id a report without the run ends it (or has ended it before), and the first send is carried out there: the fence is the scheduler's own, and the new incarnation knows neither the run nor the stop. Unlike a former scheduler's start it is not refused by any later call.

Seven cases: the repeat is accepted, accepted and listed, or refused for want of room and the run stopped; with and without a restart; the first send arrives 2.5, 4 or 12 s after it was sent.

Measured: the two cases without a restart hold; the five with one begin the run beside the task's next run. The test stays red until the lead decides on the fix.

--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -243,12 +243,85 @@
     }
 }
 
+/* What became of a start whose first send had no answer: it ran, it ran and a
+ * report listed it, or the repeat was refused and the run stopped. */
+enum repeat { ACCEPTED, ACCEPTED_LISTED, NO_ROOM };
+
+/* Sends the start again and applies its answer: it runs, or it was stopped and
+ * the worker rejects it. */
+static void
+repeat_start(struct runner *r, const struct start *s, enum repeat how)
+{
+    if (how == NO_ROOM) {
+        hold(r, s->until_ms);
+        cw_sched_start_answered(&f.s, r->worker, &s->row, CW_START_NO_CAPACITY,
+                                true, f.now);
+        r->barred[s->row.job] = s->row.run;
+        cw_sched_stop_answered(&f.s, r->worker, &s->row, f.now);
+    }
+    else {
+        assert_true(carry_out(r, s));
+        cw_sched_start_answered(&f.s, r->worker, &s->row, CW_START_OK, true,
+                                f.now);
+    }
+    run_to(f.now + 50);
+    if (how != ACCEPTED) {
+        send_report(r, 1);
+    }
+}
+
+/* TWICE: a start was repeated as its first send had no answer. That its run is
+ * over was shown by a report, after the repeat or a stop had been answered.
+ * The first send was carried out later, by an incarnation that knows neither
+ * the run nor the stop. */
+static void
+test_first_send_after_a_repeat(void **state)
+{
+    (void)state;
+    static const struct {
+        enum repeat how;
+        bool restarts;
+        cw_ms arrives; /* the first send, after it was sent */
+    } cases[] = {
+        {ACCEPTED, false, 4000},       {NO_ROOM, false, 4000},
+        {ACCEPTED, true, 2500},        {ACCEPTED, true, 12000},
+        {ACCEPTED_LISTED, true, 4000}, {NO_ROOM, true, 2500},
+        {NO_ROOM, true, 12000},
+    };
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct runner r = {0};
+        cw_ms sent;
+        struct start s;
+
+        begin_runner(&r);
+        sent = f.now;
+        s = start_job(&r, 7, 1);
+        r.worker->cordoned = true; /* the task's next run goes elsewhere */
+        jobs_add_worker(&f, "w2", "w2", 4000);
+        run_to(sent + 550);
+        repeat_start(&r, &s, cases[i].how);
+        run_to(sent + 1000);
+        if (cases[i].restarts) {
+            begin_life(&r, f.now);
+        }
+        while (f.now < sent + cases[i].arrives) {
+            run_to(f.now + 500);
+            send_report(&r, 1);
+        }
+        assert_false(carry_out(&r, &s) && started_again(&s.row));
+        next_case();
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_start_of_a_former_scheduler,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_first_send_after_a_repeat, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
