Tests: leases of starts that arrive late at a restarted worker (fail)

Orders are carried out seconds later, and a comment in jobs_stray.c says "Starts arrive within 2.5 s". A restarted incarnation takes the end of the lease, which was meant for the former clock, for far ahead, and holds for max_hold_ms from the arrival on.

Two ways to two runs: the late start's own run (the worker is silent, and its restart unknown), and all other runs of the restarted worker, as the end of a lease applies to all that runs there. The second needs no further restart: one unanswered start, a restart within the time that it is late, and a cut soon after it has arrived.

They stay red until the lead decides on the fix.

--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -314,6 +314,93 @@
     }
 }
 
+/* TWICE: a start to a silent worker counted as arrived after 500 ms. Carried
+ * out later by an incarnation that the scheduler doesn't know, it holds its
+ * run for max_hold_ms from then on. */
+static void
+test_lease_of_a_late_start(void **state)
+{
+    (void)state;
+    static const cw_ms arrives[] = {400, 2500, 8000, 12000};
+
+    for (size_t i = 0; i < COUNT(arrives); i++) {
+        struct runner r = {0};
+        cw_ms sent;
+        struct start s;
+
+        begin_runner(&r);
+        sent = f.now;
+        s = start_job(&r, 7, 1);
+        jobs_add_worker(&f, "w2", "w2", 4000);
+        begin_life(&r, f.now);
+        run_to(sent + arrives[i]);
+        assert_true(carry_out(&r, &s));
+        while (!started_again(&s.row) && f.now - sent < 60000) {
+            run_to(f.now + STEP_MS);
+        }
+        assert_true(started_again(&s.row));
+        assert_true(f.now >= r.lapses);
+        next_case();
+    }
+}
+
+/* TWICE: a start whose first send is carried out late extends the lease of all
+ * that runs on the worker. At a restarted worker its end is far ahead, as it
+ * was meant for the former clock; the scheduler counted the lease that it had
+ * sent last, and a worker that was then cut off ran its tasks beside their
+ * next runs. */
+static void
+test_lease_of_others_after_a_late_start(void **state)
+{
+    (void)state;
+    static const struct {
+        cw_ms restart; /* after the first send of job 8's start */
+        cw_ms arrives; /* the same */
+    } cases[] = {{300, 350}, {300, 2500}, {300, 8000}, {1000, 12000}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct runner r = {0};
+        struct start first;
+        struct start s;
+        cw_ms sent;
+
+        begin_runner(&r);
+        sent = f.now;
+        first = start_job(&r, 8, 1);
+        run_to(sent + cases[i].restart);
+        begin_life(&r, f.now);
+        if (cases[i].arrives < 500) {
+            run_to(sent + cases[i].arrives);
+            assert_true(carry_out(&r, &first));
+        }
+        run_to(sent + cases[i].restart + 200);
+        send_report(&r, 1);
+        s = first;
+        s.until_ms = cw_worker_lease_until(&f.s, r.worker, true, f.now);
+        repeat_start(&r, &s, ACCEPTED_LISTED);
+        s = start_job(&r, 7, 1);
+        assert_true(carry_out(&r, &s));
+        cw_sched_start_answered(&f.s, r.worker, &s.row, CW_START_OK, false,
+                                f.now);
+        jobs_add_worker(&f, "w2", "w2", 4000);
+        while (f.now < sent + cases[i].arrives) {
+            run_to(f.now + 250);
+            hold(&r, cw_worker_lease_until(&f.s, r.worker, true, f.now));
+            send_report(&r, 1);
+        }
+        if (cases[i].arrives >= 500) {
+            assert_true(carry_out(&r, &first));
+        }
+        /* Cut off from here on. */
+        while (!started_again(&s.row) && f.now - sent < 60000) {
+            run_to(f.now + STEP_MS);
+        }
+        assert_true(started_again(&s.row));
+        assert_true(f.now >= r.lapses);
+        next_case();
+    }
+}
+
 int
 main(void)
 {
@@ -322,6 +409,10 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_first_send_after_a_repeat, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_lease_of_a_late_start, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(
+            test_lease_of_others_after_a_late_start, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
