Leases: count a start that may still be carried out

Callers saw two runs of one task at once (TWICE). A start was counted as arrived 500 ms after it was sent. Workers may carry an order out seconds later. At a worker that has restarted unnoticed the end of the lease, meant for the former clock, lies far ahead, so that the run, and all others there, are held for max_hold_ms from then on, while the scheduler gives them up earlier.

- A start without an answer counts for order_late_ms (new setting, 12 s), and its lease for max_hold_ms from then on; so it does for the other runs of a worker that restarts meanwhile.
- A start on a connection that was open before the last report was asked for reaches the process that reported, or none: its lease is bounded by that process's clock at once.
Most starts to a busy worker are such; they lapse after lease_ms instead of max_hold_ms.

New: test_lease_of_an_unanswered_start, test_reuse_of_a_connection.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -164,7 +164,9 @@
                    r->running_count, r->ended_count);
             a->next_report_at = now + REPORT_RETRY_MS;
         }
+        a->known_at = a->report_sent;
         if (!cw_sched_report(d->sched, a->worker, r, now)) {
+            a->known_at = 0;
             a->next_report_at = now + REPORT_RETRY_MS;
         }
         a->report_due = a->worker->ack_pending > a->worker->acked
--- a/packages/jobd/agents_int.h
+++ b/packages/jobd/agents_int.h
@@ -21,6 +21,7 @@
     bool withheld;   /* waits for a valid membership; counted */
     cw_ms due;
     cw_ms sent_at; /* latest call */
+    bool bound;    /* it reaches the incarnation that reported last, or none */
 };
 
 struct cw_agent {
@@ -39,6 +40,7 @@
     cw_ms report_due;
     cw_ms answered_at;         /* the last report came */
     cw_ms reported_at;         /* call that it answered */
+    cw_ms known_at;            /* the same; 0: the report was not believed */
     uint32_t unproved_reports; /* in a row */
     uint32_t starts_open;
     cw_ms start_at;        /* last start that was sent */
--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -125,6 +125,9 @@
     }
     else {
         o->unanswered |= s == CW_ERR_UNKNOWN;
+        if (s == CW_ERR_UNKNOWN && !o->bound) {
+            cw_worker_start_unanswered(d->sched, w, o->sent_at);
+        }
         w->retry_at = now + UNANSWERED_PAUSE_MS;
         t = order_task(o);
         cw_log(CW_INFO, "start_unanswered",
@@ -218,8 +221,7 @@
 }
 
 static void
-send_start(struct cw_agent *a, struct order *o, const struct cw_task *t,
-           cw_ms now)
+send_start(struct cw_agent *a, struct order *o, struct cw_task *t, cw_ms now)
 {
     struct cw_jobd *d = a->d;
     struct cw_start_order so = {
@@ -231,7 +233,12 @@
     };
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
-    cw_worker_start_sent(d->sched, a->worker, now);
+    o->bound = a->known_at != 0 && d->ports.exec.is_bound != NULL &&
+               d->ports.exec.is_bound(a->conn, a->known_at);
+    cw_sched_start_bound(t, o->bound, o->unanswered);
+    if (!o->bound) {
+        cw_worker_start_sent(d->sched, a->worker, now);
+    }
     a->starts_open++;
     a->start_at = now;
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -34,6 +34,8 @@
     cw_ms grace_ms;      /* from SIGTERM to SIGKILL */
     cw_ms lease_ms;      /* of runs on workers */
     cw_ms max_hold_ms;   /* workers shorten longer leases to this */
+    cw_ms order_late_ms; /* an order without an answer may be carried out this
+                          * long after it was sent */
     cw_ms status_ms;     /* ended jobs are kept this long */
     cw_ms stop_ms;       /* a worker stops a task within this time */
     cw_ms move_ms;       /* duration of a VM's move between pools */
--- a/packages/jobd/jobd_settings.c
+++ b/packages/jobd/jobd_settings.c
@@ -30,6 +30,7 @@
                                          "grace_s",
                                          "lease_ms",
                                          "max_hold_ms",
+                                         "order_late_ms",
                                          "status_s",
                                          "stop_ms",
                                          "move_s",
@@ -62,6 +63,7 @@
     s->grace_ms = 6 * CW_SECOND;
     s->lease_ms = 4500;
     s->max_hold_ms = 10 * CW_SECOND;
+    s->order_late_ms = 12 * CW_SECOND;
     s->status_ms = 2 * CW_MINUTE;
     s->stop_ms = 900;
     s->move_ms = 1500;
@@ -118,6 +120,7 @@
     parse_seconds(o, "move_s", 0, &s->move_ms);
     cw_jget_ms(o, "lease_ms", false, 500, CW_HOUR, &s->lease_ms);
     cw_jget_ms(o, "max_hold_ms", false, 500, CW_HOUR, &s->max_hold_ms);
+    cw_jget_ms(o, "order_late_ms", false, 0, CW_HOUR, &s->order_late_ms);
     cw_jget_ms(o, "stop_ms", false, 0, CW_HOUR, &s->stop_ms);
     cw_jget_ms(o, "vm_lease_ms", false, 0, CW_HOUR, &s->vm_lease_ms);
     cw_jget_ms(o, "harm_ms", false, 0, CW_HOUR, &s->harm_ms);
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -133,6 +133,7 @@
         .status_ms = d->settings.status_ms,
         .lease_ms = d->settings.lease_ms,
         .max_hold_ms = d->settings.max_hold_ms,
+        .order_late_ms = d->settings.order_late_ms,
         .renewals_ms = d->settings.member_ttl_ms + CW_RENEWAL_GRACE_MS,
         .share_window_ms = d->settings.share_window_ms,
         .share_overage = d->settings.share_overage,
--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -311,6 +311,8 @@
     int64_t lease_until_ms; /* lease sent last, on its clock; 0: none */
     cw_ms lapse_at;         /* all leases of its runs have lapsed by then .. */
     cw_ms unproved_lapse_at; /* .. or then, of those not proved */
+    cw_ms late_start_until;  /* starts without an answer may be carried out
+                              * until then, by any incarnation; 0: none */
     uint64_t ack_pending;    /* ends up to this number are in ack_batch */
     uint64_t ack_batch;
     uint64_t acked;             /* ends up to this number are durable */
@@ -459,9 +461,11 @@
 
 /* Limits that the platform sets. */
 struct cw_sched_limits {
-    cw_ms status_ms;   /* how long ended jobs are kept */
-    cw_ms lease_ms;    /* length of a worker's lease */
-    cw_ms max_hold_ms; /* a worker shortens longer ones to this */
+    cw_ms status_ms;     /* how long ended jobs are kept */
+    cw_ms lease_ms;      /* length of a worker's lease */
+    cw_ms max_hold_ms;   /* a worker shortens longer ones to this */
+    cw_ms order_late_ms; /* an order without an answer may be carried out this
+                          * long after it was sent */
     /* A previous scheduler may renew leases for this long after the role was
      * assigned to this one. */
     cw_ms renewals_ms;
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -7,7 +7,8 @@
 /* Delay of the worker's own timer, added to the time after which a lease has
  * certainly lapsed. */
 #define LAPSE_MARGIN_MS 250
-/* A start may reach the worker until its call has ended. */
+/* A start reaches a worker by the end of its call, and is carried out by then
+ * when the call is answered. */
 #define START_ARRIVAL_MS 500
 /* A worker's answer may be under way this long. */
 #define ANSWER_DELAY_MS 2000
@@ -69,6 +70,7 @@
                           int64_t born, cw_ms now)
 {
     cw_ms age = now + s->wall_offset - born;
+    cw_ms arrives = now + START_ARRIVAL_MS;
 
     if (w->born_wall != 0) {
         cw_log(CW_INFO, "worker_restarted",
@@ -85,7 +87,9 @@
         repeat_stops(s, w);
         cw_stray_restarted(s, w, now);
         /* Starts under way may yet extend the lease by the former clock. */
-        lapses_not_before(w, now + START_ARRIVAL_MS + longest_unproved(s));
+        arrives =
+            arrives > w->late_start_until ? arrives : w->late_start_until;
+        lapses_not_before(w, arrives + longest_unproved(s));
     }
     else if (w->tasks != NULL && age < longest_unproved(s) + WALL_SKEW_MS) {
         /* So may the previous scheduler's have done. */
@@ -198,6 +202,30 @@
     w->unproved_lapse_at = now + START_ARRIVAL_MS + longest_unproved(s);
 }
 
+void
+cw_worker_start_unanswered(struct cw_sched *s, struct cw_worker *w,
+                           cw_ms sent_at)
+{
+    cw_ms until = sent_at + s->limits.order_late_ms;
+
+    if (w->late_start_until < until) {
+        w->late_start_until = until;
+    }
+    if (w->unproved_lapse_at < until + longest_unproved(s)) {
+        w->unproved_lapse_at = until + longest_unproved(s);
+    }
+    if (w->born_at >= sent_at) {
+        /* It was meant for the clock of the incarnation before. */
+        lapses_not_before(w, until + longest_unproved(s));
+    }
+}
+
+void
+cw_sched_start_bound(struct cw_task *t, bool bound, bool again)
+{
+    t->proved = bound && (t->proved || !again);
+}
+
 void
 cw_sched_start_clock(struct cw_sched *s, const struct cw_worker *w,
                      const struct cw_run_row *r, int64_t clock_ms, cw_ms now)
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -41,6 +41,7 @@
     struct cw_http_conn *next;
     struct cw_http_conn *idle_next;
     struct cw_http_call *call; /* NULL: idle */
+    cw_ms opened_at;           /* 0: not yet */
     http_parser parser;
     bool complete; /* the answer of the call */
     bool reusable; /* after it */
@@ -376,7 +377,8 @@
     if (c->client == NULL) {
         return;
     }
-    if (e == 0 && clock_now() >= c->call->expires) {
+    c->opened_at = clock_now();
+    if (e == 0 && c->opened_at >= c->call->expires) {
         /* The process was paused: what allowed the call may have run out. */
         e = UV_ETIMEDOUT;
     }
@@ -522,6 +524,12 @@
     }
 }
 
+bool
+cw_http_client_reuses(const struct cw_http_client *c, cw_ms since)
+{
+    return c->idle != NULL && c->idle->opened_at < since;
+}
+
 void
 cw_http_client_finish(struct cw_http_client *c)
 {
--- a/packages/ports/cw_http_call.h
+++ b/packages/ports/cw_http_call.h
@@ -60,4 +60,9 @@
                                const struct cw_http_answer *a),
                   void *arg);
 
+/* True when the next call goes out on a connection that was open before a
+ * time, of cw_clock_system. A connection ends with the process that accepted
+ * it: the call reaches the process that listened at that time, or none. */
+bool cw_http_client_reuses(const struct cw_http_client *c, cw_ms since);
+
 #endif
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -217,6 +217,9 @@
     /* Gets the running and the ended runs. */
     void (*poll)(struct cw_worker_conn *c, const struct cw_report_order *o,
                  cw_ms timeout, cw_report_done done, void *arg);
+    /* True when the next order reaches the incarnation that answered a report
+     * which was asked for at a time, or none. NULL: never known. */
+    bool (*is_bound)(const struct cw_worker_conn *c, cw_ms reported_at);
 };
 
 /* ---- VMs --------------------------------------------------------------- */
--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -123,6 +123,13 @@
     return c;
 }
 
+static bool
+is_bound(const struct cw_worker_conn *c, cw_ms reported_at)
+{
+    (void)reported_at;
+    return c->rig->bound;
+}
+
 static void
 answer_order(struct rig_call *c, enum cw_status s, bool start)
 {
@@ -302,8 +309,8 @@
     d->ports.store =
         (struct cw_store_port){batch_add, append, publish, read_latest,
                                read_from, join,   leave,   get_owner};
-    d->ports.exec = (struct cw_exec_port){conn_open, conn_close, start,
-                                          stop,      pace,       poll_report};
+    d->ports.exec = (struct cw_exec_port){
+        conn_open, conn_close, start, stop, pace, poll_report, is_bound};
     d->ports.vmctl.move = move;
     d->ports.vmctl.list = list_vms;
     d->config.version = 1;
--- a/tests/jobd_rig.h
+++ b/tests/jobd_rig.h
@@ -68,6 +68,7 @@
     uint32_t publish_count;
     uint32_t move_count;
     struct cw_report_order report_order; /* of the last call for a report */
+    bool bound; /* orders reach the incarnation that reported last, or none */
 };
 
 /* The daemon is a member of the group, not the scheduler. */
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -535,6 +535,47 @@
     assert_in_range(last, RIG_MAX_HOLD_MS, 2 * RIG_MAX_HOLD_MS);
 }
 
+/* Guards against a task that runs twice: a start without an answer may be
+ * carried out much later. One that can reach a restarted process counts for
+ * that long, and its lease for max_hold_ms from then on. One on a connection
+ * that is older than the last report reaches the known process alone, whose
+ * clock bounds the lease. */
+static void
+test_lease_of_an_unanswered_start(void **state)
+{
+    (void)state;
+    for (int bound = 0; bound <= 1; bound++) {
+        struct cw_job_entry *j;
+        cw_ms sent;
+        cw_ms began;
+
+        rig.bound = bound != 0;
+        rig.d.sched->limits.order_late_ms = 12000;
+        rig_set_membership(&rig, 60000);
+        j = rig_accept(&rig, 1, false);
+        rig_commit(&rig, CW_OK);
+        sent = rig.clock.now;
+        rig_advance(&rig, 400);
+        lose_start();
+        lose_report();
+        for (began = rig.clock.now;
+             j->tasks[0].worker != NULL && rig.clock.now - began < 60000;) {
+            rig_advance(&rig, 50);
+            cw_sched_expire_leases(rig.d.sched, rig.clock.now);
+        }
+        if (bound) {
+            assert_in_range(rig.clock.now - sent, RIG_LEASE_MS,
+                            2 * RIG_LEASE_MS);
+        }
+        else {
+            assert_in_range(rig.clock.now - sent, 12000 + RIG_MAX_HOLD_MS,
+                            14000 + RIG_MAX_HOLD_MS);
+        }
+        (void)teardown(NULL);
+        (void)setup(NULL);
+    }
+}
+
 int
 main(void)
 {
@@ -567,6 +608,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_stop_of_a_stray_ends, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_lease_of_an_unanswered_start,
+                                        setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -202,6 +202,34 @@
     }
 }
 
+/* Guards against a start that reaches another process than was known: only a
+ * connection that is open already, and was so at the time, bears a call to the
+ * process that listened then. */
+static void
+test_reuse_of_a_connection(void **state)
+{
+    (void)state;
+    struct cw_clock clock = cw_clock_system();
+    cw_ms began = clock.now(clock.ctx);
+    struct cw_http_client c;
+
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert_int_equal(cw_http_client_init(&c, &loop, server.address), CW_OK);
+    assert_false(cw_http_client_reuses(&c, began + 60000));
+    (void)run_call(&c, 5000);
+    assert_true(cw_http_client_reuses(&c, began + 60000));
+    assert_false(cw_http_client_reuses(&c, began));
+    server.close_after = true;
+    (void)run_call(&c, 5000);
+    for (int i = 0; i < 1000 && cw_http_client_reuses(&c, began + 60000);
+         i++) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    assert_false(cw_http_client_reuses(&c, began + 60000));
+    cw_http_client_finish(&c);
+    (void)uv_run(&loop, UV_RUN_NOWAIT);
+}
+
 #define PAUSE_MS 300
 
 static void
@@ -468,6 +496,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_answers, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_reuse_of_a_connection, setup,
+                                        teardown),
         cmocka_unit_test_setup_teardown(test_nothing_is_sent_after_a_pause,
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_unwell_worker_is_not_gone, setup,
--- a/tests/test_jobd_settings.c
+++ b/tests/test_jobd_settings.c
@@ -33,6 +33,8 @@
         {"{" ADDRESSES ",\"cores\":0}", CW_ERR_INVALID},
         {"{" ADDRESSES ",\"max_hold_ms\":6000}", CW_OK},
         {"{" ADDRESSES ",\"max_hold_ms\":0}", CW_ERR_INVALID},
+        {"{" ADDRESSES ",\"order_late_ms\":0}", CW_OK},
+        {"{" ADDRESSES ",\"order_late_ms\":-1}", CW_ERR_INVALID},
         {"{" ADDRESSES ",\"harm_ms\":4500,\"interference\":false}", CW_OK},
         {"{" ADDRESSES ",\"harm_ms\":-1}", CW_ERR_INVALID},
         {"{" ADDRESSES ",\"interference\":1}", CW_ERR_INVALID},
@@ -84,6 +86,7 @@
     assert_int_equal(s.move_ms, 1500);
     assert_int_equal(s.member_ttl_ms, 1000);
     assert_int_equal(s.max_hold_ms, 10000);
+    assert_int_equal(s.order_late_ms, 12000);
     assert_int_equal(s.revoke_ms, 5000);
     assert_false(s.strict_revoke);
     assert_int_equal(
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -12,6 +12,8 @@
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 #define MAX_HOLD_MS 10000
+#define ORDER_LATE_MS 12000
+#define CALL_MS 400 /* after which a start counts as one without an answer */
 #define STEP_MS 50
 
 static struct jobs_fixture f;
@@ -21,6 +23,7 @@
 {
     jobs_setup(&f);
     f.s.limits.max_hold_ms = MAX_HOLD_MS;
+    f.s.limits.order_late_ms = ORDER_LATE_MS;
 }
 
 static int
@@ -333,6 +336,8 @@
         s = start_job(&r, 7, 1);
         jobs_add_worker(&f, "w2", "w2", 4000);
         begin_life(&r, f.now);
+        run_to(sent + CALL_MS);
+        cw_worker_start_unanswered(&f.s, r.worker, sent);
         run_to(sent + arrives[i]);
         assert_true(carry_out(&r, &s));
         while (!started_again(&s.row) && f.now - sent < 60000) {
@@ -373,6 +378,7 @@
             run_to(sent + cases[i].arrives);
             assert_true(carry_out(&r, &first));
         }
+        cw_worker_start_unanswered(&f.s, r.worker, sent);
         run_to(sent + cases[i].restart + 200);
         send_report(&r, 1);
         s = first;
