--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -49,6 +49,14 @@
     }
 }
 
+static void
+unproved_lapse_not_before(struct cw_worker *w, cw_ms at)
+{
+    if (w->unproved_lapse_at < at) {
+        w->unproved_lapse_at = at;
+    }
+}
+
 /* ---- incarnations ---- */
 
 /* The former incarnation's answers to stops do not bind the new one. */
@@ -199,7 +207,7 @@
 void
 cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now)
 {
-    w->unproved_lapse_at = now + START_ARRIVAL_MS + longest_unproved(s);
+    unproved_lapse_not_before(w, now + START_ARRIVAL_MS + longest_unproved(s));
 }
 
 void
@@ -211,9 +219,7 @@
     if (w->late_start_until < until) {
         w->late_start_until = until;
     }
-    if (w->unproved_lapse_at < until + longest_unproved(s)) {
-        w->unproved_lapse_at = until + longest_unproved(s);
-    }
+    unproved_lapse_not_before(w, until + longest_unproved(s));
     if (w->born_at >= sent_at) {
         /* It was meant for the clock of the incarnation before. */
         lapses_not_before(w, until + longest_unproved(s));
