Tests: a start moves the lapse of loaded runs back (fails)

Found while the table of proofs was written. cw_worker_start_sent assigns unproved_lapse_at, where lapse_at is only ever raised. After a takeover it holds the former scheduler's renewals (membership + 1 s, 2 s in the test); a start that is sent within these sets it to 0.5 s + max_hold_ms from now on. A run that was loaded and on which no report has decided is then given up up to 1.5 s early. It takes a report that decides on no run (a row that can't be read, or 500 ends) and then silence, so that two runs from this alone are improbable.

The test stays red until the lead decides.

--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -135,11 +135,11 @@
 
 /* ---- the scheduler ---- */
 
-/* Its entry in the list. */
+/* Its entry in the list, written since the takeover or not. */
 static struct cw_worker *
-list_runner(const char *id, int64_t born)
+list_runner(const char *id, int64_t born, bool current)
 {
-    struct cw_worker_entry e = {.born_wall = born, .current = true};
+    struct cw_worker_entry e = {.born_wall = born, .current = current};
 
     (void)cw_name_set(&e.id, cw_str_from(id));
     (void)cw_name_set(&e.vm, cw_str_from(id));
@@ -169,7 +169,7 @@
 static void
 begin_runner(struct runner *r)
 {
-    r->worker = list_runner("w1", f.now - 60000);
+    r->worker = list_runner("w1", f.now - 60000, true);
     begin_life(r, f.now - 60000);
     r->began = f.now - 60000;
     send_report(r, 1);
@@ -227,7 +227,7 @@
         s = start_job(&r, 7, 1);
         run_to(sent + 1500);
         jobs_take_over(&f);
-        r.worker = list_runner("w1", r.born);
+        r.worker = list_runner("w1", r.born, true);
         r.worker->cordoned = true; /* the task's next run goes elsewhere */
         jobs_add_worker(&f, "w2", "w2", 4000);
         run_to(sent + 2000);
@@ -401,6 +401,42 @@
     }
 }
 
+/* TWICE: a start moves the time at which the unproved runs of its worker have
+ * lapsed. After a takeover it moved that time back, as the former scheduler
+ * may renew for longer than a start takes to arrive. The report before it has
+ * a row that can't be read, so that it decides on no run. */
+static void
+test_start_keeps_the_lapse_of_loaded_runs(void **state)
+{
+    (void)state;
+    for (int with_start = 0; with_start < 2; with_start++) {
+        struct runner r = {0};
+        struct cw_run_report partial = {.partial = true};
+        cw_ms loaded;
+        struct start s;
+
+        begin_runner(&r);
+        s = start_job(&r, 7, 1);
+        jobs_take_over(&f);
+        loaded = f.now;
+        r.worker = list_runner("w1", r.born, false);
+        partial.born_wall = r.born;
+        partial.clock_ms = runner_clock(&r);
+        partial.sent_at = f.now;
+        cw_sched_report(&f.s, r.worker, &partial, f.now);
+        run_to(loaded + 100);
+        if (with_start) {
+            (void)start_job(&r, 8, 2);
+        }
+        while (task_of(7)->run == s.row.run && task_of(7)->worker != NULL &&
+               f.now - loaded < 60000) {
+            run_to(f.now + STEP_MS);
+        }
+        assert_true(f.now - loaded >= f.s.limits.renewals_ms + MAX_HOLD_MS);
+        next_case();
+    }
+}
+
 int
 main(void)
 {
@@ -413,6 +449,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(
             test_lease_of_others_after_a_late_start, setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_start_keeps_the_lapse_of_loaded_runs, setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
