Leases: no time of day proves a lease after a takeover

A takeover counted lease_ms instead of max_hold_ms for a run whose age, and for a worker whose age, by the time of day was over the longest lease and 5 s. A clock that jumped further, of the worker's VM or of a daemon that schedules first after all have restarted, proved a lease too early: the run was given up after 6.35 s although its worker may hold it for 10 s.

- The record of a run names the incarnation that it was started on, and whether reports have listed it; it is written again once for a run that lasts 3 s.
- An entry written since the takeover proves the runs that were started on the incarnation that it names: the worker has not restarted.
- The age of a worker is what its steady clock shows.
- A later worker of a VM ends the runs of one that the list lacks only when the record names an earlier incarnation.

--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -58,21 +58,17 @@
                      enum cw_run_loss why, cw_ms now);
 /* The worker restarted under its id: ends, acknowledgements and clock of the
  * former incarnation are void. Nothing starts there before the new one has
- * reported; that report decides on the runs. */
+ * reported; that report decides on the runs. clock_ms: what its clock showed
+ * lately, 0 when unknown. */
 void cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
-                               int64_t born, cw_ms now);
+                               int64_t born, int64_t clock_ms, cw_ms now);
 /* True when the report, which seems to be of an earlier incarnation, is of a
  * later one that was started after the worker's time of day had gone back. */
 bool cw_worker_clock_went_back(struct cw_worker *w,
                                const struct cw_run_report *r, cw_ms now);
-/* The listed incarnation lives. When it began long ago, the previous scheduler
- * knew it, and the leases of its starts are proved. */
-void cw_worker_seen_alive(struct cw_sched *s, struct cw_worker *w, cw_ms now);
-/* The run was started so long ago that, if it runs, it does so on an
- * incarnation whose clock every scheduler since has known: its lease is
- * proved. */
-bool cw_run_outlived_unproved(const struct cw_sched *s,
-                              const struct cw_task *t, cw_ms now);
+/* The listed incarnation lives now. It has not restarted since the previous
+ * scheduler started runs on it, whose leases are then proved. */
+void cw_worker_seen_alive(struct cw_worker *w);
 /* The run is over: the task waits again. */
 void cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
                   cw_ms now);
--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -184,8 +184,9 @@
     uint8_t state;   /* enum cw_run_state */
     bool started_up; /* a lasting task that has finished its start-up */
     bool proved; /* the incarnation that reports has carried out its start */
-    bool preempted; /* was stopped once for a higher priority */
-    uint32_t run;   /* number of the latest run, 0: none yet */
+    bool proof_recorded; /* the record says so */
+    bool preempted;      /* was stopped once for a higher priority */
+    uint32_t run;        /* number of the latest run, 0: none yet */
     uint32_t failures;
     struct cw_worker *worker;
     struct cw_task *prev; /* in the worker's list */
@@ -193,7 +194,8 @@
     struct cw_task *unsent_next; /* in cw_sched.unsent */
     uint64_t order_batch; /* batch with the latest start, 0: loaded record */
     cw_ms state_since;
-    cw_ms started_wall;     /* of the latest run; 0: unknown */
+    cw_ms started_wall; /* of the latest run; 0: unknown */
+    int64_t born_wall;  /* incarnation that it was started on; 0: unknown */
     cw_ms stop_answered_at; /* the worker acknowledged a stop; 0: not yet */
     uint32_t last_report;   /* number of the worker's last report with it */
     cw_ms ready_at;         /* it could start from then on */
@@ -432,6 +434,7 @@
     size_t label_count;
     struct cw_resources capacity;
     int64_t born_wall;
+    int64_t clock_ms; /* of the worker when it wrote the entry; 0: unknown */
     bool draining;
     bool current; /* it was written after this scheduler had begun */
 };
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -15,9 +15,6 @@
 /* Reports with an earlier start than the known one are believed when they have
  * come for this long. */
 #define EARLIER_REPORTS_MS 2000
-/* Wall clocks may differ by this. */
-#define WALL_SKEW_MS 5000
-
 /* Longest time that a lease of this length lasts. */
 static cw_ms
 longest(cw_ms lease)
@@ -75,9 +72,8 @@
 
 void
 cw_worker_new_incarnation(struct cw_sched *s, struct cw_worker *w,
-                          int64_t born, cw_ms now)
+                          int64_t born, int64_t clock_ms, cw_ms now)
 {
-    cw_ms age = now + s->wall_offset - born;
     cw_ms arrives = now + START_ARRIVAL_MS;
 
     if (w->born_wall != 0) {
@@ -99,8 +95,9 @@
             arrives > w->late_start_until ? arrives : w->late_start_until;
         lapses_not_before(w, arrives + longest_unproved(s));
     }
-    else if (w->tasks != NULL && age < longest_unproved(s) + WALL_SKEW_MS) {
-        /* So may the previous scheduler's have done. */
+    else if (w->tasks != NULL && clock_ms < longest_unproved(s)) {
+        /* So may the previous scheduler's have done. The worker's clock begins
+         * with the incarnation, and shows at most its age. */
         lapses_not_before(w, now + longest_unproved(s));
     }
     w->born_wall = born;
@@ -128,25 +125,12 @@
     return true;
 }
 
-bool
-cw_run_outlived_unproved(const struct cw_sched *s, const struct cw_task *t,
-                         cw_ms now)
-{
-    return t->started_wall != 0 &&
-           now + s->wall_offset - t->started_wall >=
-               START_ARRIVAL_MS + longest_unproved(s) + WALL_SKEW_MS;
-}
-
 void
-cw_worker_seen_alive(struct cw_sched *s, struct cw_worker *w, cw_ms now)
+cw_worker_seen_alive(struct cw_worker *w)
 {
-    cw_ms age = now + s->wall_offset - w->born_wall;
-
-    if (w->born_wall == 0 || age < longest_unproved(s) + WALL_SKEW_MS) {
-        return;
-    }
     for (struct cw_task *t = w->tasks; t != NULL; t = t->next) {
-        t->proved |= t->order_batch == 0;
+        t->proved |= t->order_batch == 0 && t->born_wall != 0 &&
+                     t->born_wall == w->born_wall;
     }
 }
 
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -229,6 +229,9 @@
             r->worker = t->worker->id.text;
             r->vm = t->worker->vm.text;
             r->started_wall = t->started_wall;
+            r->born = t->born_wall;
+            r->proved = t->proved;
+            t->proof_recorded = t->proved;
         }
         if (t->state != CW_RUN_DONE) {
             r->checkpoint = t->checkpoint;
@@ -347,7 +350,9 @@
         cw_task_set_state(t, (enum cw_run_state)r->state);
         t->order_batch = 0;
         t->started_wall = r->started_wall;
-        t->proved = cw_run_outlived_unproved(s, t, now);
+        t->born_wall = r->born;
+        t->proved = r->proved;
+        t->proof_recorded = r->proved;
     }
 }
 
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -357,6 +357,9 @@
 
 /* ---- reports ---- */
 
+/* Runs that last longer than this have their proof recorded, so that not each
+ * takeover counts the longest lease for them anew. */
+#define PROOF_RECORD_MS 3000
 /* Progress at which a lasting task has finished its start-up. */
 #define STARTED_UP_PERCENT 100
 
@@ -389,6 +392,10 @@
         cw_task_set_state(t, CW_RUN_RUNNING);
         t->state_since = now;
     }
+    if (!t->proof_recorded && t->state == CW_RUN_RUNNING &&
+        now - t->state_since >= PROOF_RECORD_MS && !cw_job_ended(t->job)) {
+        cw_job_mark_dirty(s, t->job);
+    }
     if (cw_task_step(t)->lasting && t->state == CW_RUN_RUNNING) {
         t->started_up = r->percent >= STARTED_UP_PERCENT;
     }
@@ -459,7 +466,7 @@
             !cw_worker_clock_went_back(w, r, now)) {
             return false;
         }
-        cw_worker_new_incarnation(s, w, r->born_wall, now);
+        cw_worker_new_incarnation(s, w, r->born_wall, r->clock_ms, now);
     }
     cw_worker_note_silence(s, w, now);
     w->clock_ms = r->clock_ms;
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -360,6 +360,20 @@
     }
 }
 
+/* The start of a worker's incarnation. After a takeover, of one that the list
+ * lacks, the latest that a record of its runs names; 0: unknown. */
+static int64_t
+known_start(const struct cw_worker *w)
+{
+    int64_t born = w->born_wall;
+
+    for (const struct cw_task *t = w->born_wall != 0 ? NULL : w->tasks;
+         t != NULL; t = t->next) {
+        born = t->born_wall > born ? t->born_wall : born;
+    }
+    return born;
+}
+
 void
 cw_worker_end_earlier(struct cw_sched *s, const struct cw_worker *w, cw_ms now)
 {
@@ -368,8 +382,10 @@
     }
     for (struct cw_worker *o = w->vm_workers->list; o != NULL;
          o = o->vm_next) {
+        int64_t born = known_start(o);
+
         if (o != w && (o->state != CW_WORKER_GONE || o->tasks != NULL) &&
-            o->born_wall < w->born_wall) {
+            born != 0 && born < w->born_wall) {
             cw_sched_worker_gone(s, cw_name_str(&o->id), now);
             cw_sched_worker_lost(s, o, CW_LOSS_REPLACED, now);
         }
@@ -425,10 +441,10 @@
         pool_add_worker(p, w);
     }
     if (e->born_wall > w->born_wall) {
-        cw_worker_new_incarnation(s, w, e->born_wall, now);
+        cw_worker_new_incarnation(s, w, e->born_wall, e->clock_ms, now);
     }
     if (e->current && e->born_wall == w->born_wall) {
-        cw_worker_seen_alive(s, w, now);
+        cw_worker_seen_alive(w);
     }
     if (w->state == CW_WORKER_GONE && w->contacted &&
         w->born_wall == e->born_wall) {
--- a/packages/wire/cw_wire.pb-c.c
+++ b/packages/wire/cw_wire.pb-c.c
@@ -2832,7 +2832,7 @@
   (ProtobufCMessageInit) cuminwalk__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cuminwalk__job_task__field_descriptors[10] =
 {
   {
     "index",
@@ -2930,11 +2930,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proved",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cuminwalk__JobTask, proved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cuminwalk__job_task__field_indices_by_name[] = {
+  8,   /* field[8] = born */
   5,   /* field[5] = checkpoint */
   3,   /* field[3] = failures */
   0,   /* field[0] = index */
+  9,   /* field[9] = proved */
   2,   /* field[2] = run */
   6,   /* field[6] = started_wall */
   1,   /* field[1] = state */
@@ -2944,7 +2970,7 @@
 static const ProtobufCIntRange cuminwalk__job_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cuminwalk__job_task__descriptor =
 {
@@ -2954,7 +2980,7 @@
   "Cuminwalk__JobTask",
   "cuminwalk",
   sizeof(Cuminwalk__JobTask),
-  8,
+  10,
   cuminwalk__job_task__field_descriptors,
   cuminwalk__job_task__field_indices_by_name,
   1,  cuminwalk__job_task__number_ranges,
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -368,10 +368,19 @@
    * of the worker; "": unknown
    */
   char *vm;
+  /*
+   * The worker's incarnation that the run was started on, as its start in
+   * Unix milliseconds; 0: unknown
+   */
+  int64_t born;
+  /*
+   * This incarnation was seen to have the run.
+   */
+  protobuf_c_boolean proved;
 };
 #define CUMINWALK__JOB_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cuminwalk__job_task__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cuminwalk__JobProgress
