--- a/tests/test_given_up_daemon.c
+++ b/tests/test_given_up_daemon.c
@@ -12,6 +12,7 @@
 
 #include "fleet_int.h"
 #include "jobd_rig.h"
+#include "jobs_util.h"
 #include "log_lines.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -158,12 +159,56 @@
     rig_finish(&rig);
 }
 
+/* A preempted task is told from one that its worker lost. */
+static void
+test_preempted(void **state)
+{
+    (void)state;
+    static struct jobs_fixture f;
+    struct cw_tenant_entry a = {.weight = 100};
+    struct cw_job_spec s = jobs_spec(1, 20, 1000);
+    struct cw_job_entry *running;
+    struct cw_sched *own;
+    uint32_t stopped = 0;
+
+    rig_init(&rig);
+    rig_take_over(&rig);
+    jobs_setup(&f);
+    f.now = rig.clock.now;
+    (void)cw_name_set(&a.name, CW_LIT("a"));
+    cw_sched_set_tenants(&f.s, &a, 1, f.now);
+    (void)jobs_add_worker(&f, "w1", "v1", 20000);
+    s.rules.priority = 1;
+    s.rules.tenant = a.name;
+    running = jobs_accept(&f, &s);
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    s = jobs_spec(2, 1, 1000);
+    s.rules.tenant = a.name;
+    (void)jobs_accept(&f, &s);
+    f.now += 500;
+    jobs_commit(&f);
+    own = rig.d.sched;
+    rig.d.sched = &f.s;
+    rig_advance(&rig, 500);
+    rig_set_membership(&rig, 900);
+    cw_tenants_tick(&rig.d, f.now);
+    rig.d.sched = own;
+    for (size_t i = 0; i < running->task_count; i++) {
+        stopped += running->tasks[i].stop_cause == CW_STOP_PREEMPTED ? 1 : 0;
+    }
+    assert_int_equal(stopped, 1);
+    jobs_teardown(&f);
+    rig_finish(&rig);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_answers),
         cmocka_unit_test(test_moved),
+        cmocka_unit_test(test_preempted),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
