Jobs: log ends of tasks of an ended job at level debug

Change: level debug for these. The case "cancelled" of test_given_up fails without it (a trial on a scratch copy).

--- a/packages/jobs/jobs_given_up.c
+++ b/packages/jobs/jobs_given_up.c
@@ -114,7 +114,9 @@
     const struct cw_worker *w = t->worker;
     const struct cw_worker *by =
         s->answered.from != NULL ? s->answered.from : w;
-    bool quiet = why == CW_LOSS_DONE || why == CW_LOSS_UNSENT;
+    /* No start follows a reported end of a task whose job has ended. */
+    bool quiet = why == CW_LOSS_DONE || why == CW_LOSS_UNSENT ||
+                 (why == CW_LOSS_ENDED && cw_job_ended(t->job));
 
     cw_log(
         quiet ? CW_DEBUG : CW_INFO, "run_given_up",
--- a/tests/test_given_up.c
+++ b/tests/test_given_up.c
@@ -71,6 +71,7 @@
 
 enum given_up {
     FAILED,
+    CANCELLED,
     LAPSED_THERE,
     LASTING_DONE,
     UNLISTED,
@@ -162,6 +163,11 @@
     struct cw_end_row row_end = {.number = 1, .run = row, .how = CW_END_DONE};
 
     switch (e) {
+    case CANCELLED:
+        (void)cw_sched_cancel(&f.s, 7, f.now);
+        row_end.how = CW_END_STOPPED;
+        report(w, NULL, &row_end);
+        break;
     case FAILED:
     case LAPSED_THERE:
         row_end.how = e == FAILED ? CW_END_FAILED : CW_END_LAPSED;
@@ -205,6 +211,8 @@
          "reason=ended order=own epoch=9 proof=report_end proof_age_ms=30 "
          "proof_worker=w1 proof_born=1000 state=running former=0",
          CW_PROOF_REPORT_END},
+        {"cancelled", CANCELLED, "debug",
+         "reason=ended proof=report_end state=stopping", CW_PROOF_REPORT_END},
         {"lapsed on the worker", LAPSED_THERE, "info",
          "reason=ended proof=report_end proof_age_ms=30", CW_PROOF_REPORT_END},
         {"lasting task done", LASTING_DONE, "debug",
