--- a/tests/test_proofs_asked.c
+++ b/tests/test_proofs_asked.c
@@ -110,6 +110,167 @@
     }
 }
 
+/* ---- workers and leases ---- */
+
+#define MAX_HOLD_MS 10000
+#define STEP_MS 10
+
+static struct cw_worker *
+list_worker(int64_t born, const char *address, bool draining)
+{
+    struct cw_worker_entry e = {
+        .born_wall = born, .draining = draining, .current = true};
+
+    (void)cw_name_set(&e.id, CW_LIT("w1"));
+    (void)cw_name_set(&e.vm, CW_LIT("v1"));
+    (void)cw_name_set(&e.service, CW_LIT(JOBS_SERVICE));
+    (void)cw_name_set(&e.address, cw_str_from(address));
+    e.capacity = (struct cw_resources){4000, 100000, 0};
+    return cw_sched_worker_listed(&f.s, &e, f.now);
+}
+
+/* The start of a job of one task is sent to w1, which began long ago. */
+static struct cw_task *
+start_task(void)
+{
+    struct cw_job_spec s = jobs_spec(7, 1, 1000);
+    struct cw_worker *w;
+    struct cw_job_entry *j;
+
+    f.s.limits.max_hold_ms = MAX_HOLD_MS;
+    w = list_worker(1000, "10.0.0.1:80", false);
+    jobs_report_running(&f, w, NULL, 0);
+    j = jobs_accept(&f, &s);
+    jobs_commit(&f);
+    assert_ptr_equal(j->tasks[0].worker, w);
+    return &j->tasks[0];
+}
+
+/* TWICE: a run was given up before its lease had lapsed at the latest: on a
+ * clock that is 2% slow, by a timer that is up to 250 ms late, of a start that
+ * arrived 500 ms after it was sent. */
+static void
+test_longest_lease(void **state)
+{
+    static const struct {
+        bool proved;
+        cw_ms arrives;
+        cw_ms hold;
+    } cases[] = {{true, 0, JOBS_LEASE_MS}, {false, 500, MAX_HOLD_MS}};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        const struct cw_task *t = start_task();
+        cw_ms sent = f.now;
+
+        if (cases[i].proved) {
+            struct cw_run_row row = cw_task_row(t);
+
+            jobs_report_running(&f, t->worker, &row, 1);
+        }
+        while (t->worker != NULL && f.now - sent < 60000) {
+            f.now += STEP_MS;
+            cw_sched_expire_leases(&f.s, f.now);
+        }
+        assert_in_range(f.now - sent,
+                        cases[i].arrives + cases[i].hold * 100 / 98 + 250,
+                        cases[i].arrives + cases[i].hold * 11 / 10 + 250);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
+/* TWICE: the clock in the answer to a start proves the incarnation when it had
+ * run for longer than since the last report. The answer with that report may
+ * have been under way for 2 s, in which the worker restarted. */
+static void
+test_clock_of_a_start_answer(void **state)
+{
+    static const struct {
+        int64_t clock_ms; /* 100 ms after the report came */
+        bool proved;
+    } cases[] = {{90, false}, {1900, false}, {2100, false}, {2200, true}};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        const struct cw_task *t = start_task();
+        struct cw_run_row row = cw_task_row(t);
+
+        f.now += 100;
+        cw_sched_start_clock(&f.s, t->worker, &row, cases[i].clock_ms, f.now);
+        assert_int_equal(t->proved, cases[i].proved);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
+/* TWICE: the entry of a worker that began long ago proves what the former
+ * scheduler started there. A start of this one may have reached an incarnation
+ * that began after the entry was written. */
+static void
+test_entry_proves_no_own_start(void **state)
+{
+    const struct cw_task *t = start_task();
+
+    (void)state;
+    assert_non_null(list_worker(1000, "10.0.0.1:80", false));
+    assert_false(t->proved);
+}
+
+/* TWICE: a record that does not tell when the run was started, as earlier
+ * versions wrote it, proves no lease. */
+static void
+test_record_without_a_start_time(void **state)
+{
+    struct cw_task *t = start_task();
+    struct cw_run_row row = cw_task_row(t);
+
+    (void)state;
+    for (int with_time = 0; with_time < 2; with_time++) {
+        t->started_wall = with_time ? 1 : 0;
+        cw_job_mark_dirty(&f.s, t->job);
+        jobs_commit(&f);
+        jobs_take_over(&f);
+        t = cw_sched_find_task(&f.s, &row);
+        assert_int_equal(t->proved, with_time);
+    }
+}
+
+/* TWICE: the entry of a worker's former life, read again, gave it the former
+ * address: whoever has that address now answers 421, which ended the runs of
+ * the present life. */
+static void
+test_entry_of_a_former_life(void **state)
+{
+    const struct cw_task *t = start_task();
+    struct cw_worker *w = t->worker;
+
+    (void)state;
+    assert_ptr_equal(list_worker(2000, "10.0.0.2:80", false), w);
+    assert_ptr_equal(list_worker(1000, "10.0.0.1:80", true), w);
+    assert_string_equal(w->address.text, "10.0.0.2:80");
+    assert_int_equal(w->state, CW_WORKER_READY);
+    assert_int_equal(w->born_wall, 2000);
+}
+
+/* TWICE: the first report of a VM's earlier worker, whose entry is still
+ * listed, ended the runs of the VM's present one. */
+static void
+test_report_of_the_earlier_worker(void **state)
+{
+    struct cw_worker *earlier = jobs_list_worker(&f, "w0", "v1", 4000);
+    const struct cw_task *t;
+
+    (void)state;
+    earlier->born_wall = 500;
+    t = start_task();
+    f.now += 10;
+    jobs_report_running(&f, earlier, NULL, 0);
+    assert_true(earlier->contacted);
+    assert_non_null(t->worker);
+    assert_string_equal(t->worker->id.text, "w1");
+}
+
 int
 main(void)
 {
@@ -118,6 +279,17 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_full_list_of_ends, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_longest_lease, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_clock_of_a_start_answer, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_entry_proves_no_own_start, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_record_without_a_start_time,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_report_of_the_earlier_worker,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_entry_of_a_former_life, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
