Tests: proofs of runs, records and orders that no test noticed

Each was taken out on a scratch copy without a red test among 22 programs: starts and acknowledgements wait for their own batch; a job with a planned start is not withdrawn; done tasks and stops of a record; an end counts for its run and its worker only; a gang waits for all its members' ends; a start that waits is dropped when its task is stopped; a sent start counts for max_hold_ms, and the clock in its answer proves it.

--- a/tests/test_proofs_asked.c
+++ b/tests/test_proofs_asked.c
@@ -271,6 +271,197 @@
     assert_string_equal(t->worker->id.text, "w1");
 }
 
+/* ---- what is stored ---- */
+
+/* A start is sent, and an end acknowledged, only after its own batch is
+ * stored: the next scheduler would not know of the start (TWICE), and nobody
+ * of an end that the worker has forgotten. */
+static void
+test_nothing_before_its_commit(void **state)
+{
+    struct cw_worker *w = jobs_add_worker(&f, "w1", "v1", 4000);
+    struct cw_job_spec s = jobs_spec(7, 2, 500);
+    struct cw_job_spec next = jobs_spec(8, 1, 500);
+    struct cw_job_entry *j = jobs_accept(&f, &s);
+    struct cw_end_row e = {.number = 2, .how = CW_END_STOPPED};
+    struct cw_run_report r = {
+        .born_wall = w->born_wall, .ended = &e, .ended_count = 1};
+    uint64_t batch;
+    uint64_t later;
+
+    (void)state;
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    f.now += 10;
+    jobs_report_end(&f, w, 1, cw_task_row(&j->tasks[0]), CW_END_STOPPED);
+    batch = jobs_flush(&f);
+    jobs_accept(&f, &next);
+    e.run = cw_task_row(&j->tasks[1]);
+    cw_sched_report(&f.s, w, &r, f.now);
+    later = jobs_flush(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 2);
+    cw_sched_committed(&f.s, batch);
+    assert_int_equal(jobs_count_ops(&f, 's'), 3);
+    assert_int_equal(w->acked, 0);
+    cw_sched_committed(&f.s, later);
+    assert_int_equal(jobs_count_ops(&f, 's'), 5);
+    assert_int_equal(w->acked, 2);
+}
+
+/* TWICE: a job whose task has a planned start is not withdrawn: handed in
+ * again, its tasks would be numbered anew. */
+static void
+test_no_withdrawal_of_a_started_job(void **state)
+{
+    struct cw_job_spec s = jobs_spec(7, 1, 500);
+
+    (void)state;
+    jobs_add_worker(&f, "w1", "v1", 4000);
+    jobs_accept(&f, &s);
+    cw_sched_plan(&f.s, f.now);
+    assert_false(cw_sched_withdraw(&f.s, 7));
+}
+
+/* TWICE: a task that the record shows as done does not start again, and a stop
+ * that the record shows is sent again while the worker lists the run. */
+static void
+test_loaded_states(void **state)
+{
+    struct cw_worker *w = jobs_add_worker(&f, "w1", "v1", 4000);
+    struct cw_job_spec s = jobs_spec(7, 2, 500);
+    struct cw_job_entry *j = jobs_accept(&f, &s);
+    struct cw_run_row row;
+
+    (void)state;
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    f.now += 10;
+    row = cw_task_row(&j->tasks[1]);
+    jobs_report_end(&f, w, 1, cw_task_row(&j->tasks[0]), CW_END_DONE);
+    cw_sched_stop_task(&f.s, &j->tasks[1], f.now);
+    jobs_commit(&f);
+    jobs_take_over(&f);
+    w = jobs_list_worker(&f, "w1", "v1", 4000);
+    jobs_report_running(&f, w, &row, 1);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 0);
+    assert_int_equal(jobs_count_ops(&f, 'x'), 1);
+    row.index = 0;
+    assert_int_equal(cw_sched_find_task(&f.s, &row)->state, CW_RUN_DONE);
+}
+
+/* ---- the run that a report speaks of ---- */
+
+/* TWICE: the end of another run of the task, or one that another worker
+ * reports, ended the task's present run. */
+static void
+test_end_of_another_run(void **state)
+{
+    static const struct {
+        bool other_worker;
+        bool other_run;
+        bool over;
+    } cases[] = {
+        {false, false, true}, {true, false, false}, {false, true, false}};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct cw_task *t = start_task();
+        struct cw_worker *w2 = jobs_add_worker(&f, "w2", "v2", 4000);
+        struct cw_run_row row = cw_task_row(t);
+        struct cw_worker *w = cases[i].other_worker ? w2 : t->worker;
+        struct cw_end_row e = {.number = 1, .how = CW_END_STOPPED};
+        struct cw_run_report r = {.born_wall = w->born_wall,
+                                  .sent_at = f.now,
+                                  .ended = &e,
+                                  .ended_count = 1};
+
+        cw_sched_start_answered(&f.s, t->worker, &row, CW_START_OK, false,
+                                f.now);
+        t->run += 1;
+        e.run = cw_task_row(t);
+        e.run.run -= cases[i].other_run ? 1 : 0;
+        cw_sched_report(&f.s, w, &r, f.now);
+        assert_int_equal(t->worker == NULL, cases[i].over);
+        jobs_teardown(&f);
+        jobs_setup(&f);
+    }
+}
+
+/* TWICE: a gang starts again only when all members of its last run are over.
+ */
+static void
+test_gang_awaits_all_ends(void **state)
+{
+    struct cw_worker *w = jobs_add_worker(&f, "w1", "v1", 4000);
+    struct cw_job_spec s = jobs_spec(7, 2, 500);
+    struct cw_job_entry *j;
+
+    (void)state;
+    s.steps[0].gang = true;
+    j = jobs_accept(&f, &s);
+    jobs_commit(&f);
+    jobs_answer_starts(&f, 0);
+    f.now += 10;
+    jobs_report_end(&f, w, 1, cw_task_row(&j->tasks[0]), CW_END_BROKEN);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 2);
+    jobs_report_end(&f, w, 2, cw_task_row(&j->tasks[1]), CW_END_BROKEN);
+    jobs_commit(&f);
+    assert_int_equal(jobs_count_ops(&f, 's'), 4);
+}
+
+/* ---- orders ---- */
+
+/* TWICE: a start that waited for the membership was sent after its task had
+ * been stopped, behind the stop or before it. */
+static void
+test_waiting_start_of_a_stopped_task(void **state)
+{
+    struct cw_task *t;
+
+    (void)state;
+    rig_init(&rig);
+    rig_take_over(&rig);
+    rig_set_membership(&rig, 60000);
+    t = &rig_accept(&rig, 1, false)->tasks[0];
+    rig_begin_commit(&rig);
+    rig_set_membership(&rig, -1);
+    rig_answer_append(&rig, CW_OK);
+    cw_sched_stop_task(rig.d.sched, t, rig.clock.now);
+    assert_int_equal(t->state, CW_RUN_STOPPING);
+    rig_set_membership(&rig, 60000);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_int_equal(rig.start_count, 0);
+    assert_int_equal(rig.stop_count, 1);
+    rig_finish(&rig);
+}
+
+/* TWICE: a start that was sent counts for max_hold_ms until its incarnation is
+ * proved; the clock in its answer proves it. */
+static void
+test_lease_of_a_sent_start(void **state)
+{
+    const struct cw_task *t;
+    struct rig_call c;
+
+    (void)state;
+    rig_init(&rig);
+    rig_take_over(&rig);
+    rig_set_membership(&rig, 60000);
+    t = &rig_accept(&rig, 1, false)->tasks[0];
+    rig_commit(&rig, CW_OK);
+    assert_true(rig.worker->unproved_lapse_at >=
+                rig.clock.now + RIG_MAX_HOLD_MS);
+    assert_false(t->proved);
+    c = rig.starts[0];
+    assert_true(c.open);
+    rig.starts[0].open = false;
+    c.u.start(c.arg, CW_OK, CW_START_OK, rig.clock.now);
+    assert_true(t->proved);
+    rig_finish(&rig);
+}
+
 int
 main(void)
 {
@@ -290,6 +481,19 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_entry_of_a_former_life, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_nothing_before_its_commit, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_no_withdrawal_of_a_started_job,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_loaded_states, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_end_of_another_run, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_gang_awaits_all_ends, setup,
+                                        teardown),
+        cmocka_unit_test_setup_teardown(test_waiting_start_of_a_stopped_task,
+                                        setup, teardown),
+        cmocka_unit_test_setup_teardown(test_lease_of_a_sent_start, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
