--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -463,6 +463,83 @@
     ports.exec.close(c);
 }
 
+struct start_outcome {
+    int done;
+    enum cw_status status;
+    enum cw_start_answer answer;
+};
+
+static void
+on_started(void *arg, enum cw_status s, enum cw_start_answer answer,
+           int64_t clock_ms)
+{
+    struct start_outcome *o = arg;
+
+    (void)clock_ms;
+    o->done++;
+    o->status = s;
+    o->answer = answer;
+}
+
+/* TWICE: a start that may have been carried out, as its answer never came,
+ * counted as one that was not sent. A fence that refuses it ends the role, and
+ * is no refusal for want of room. */
+static void
+test_answers_to_a_start(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *answer;
+        enum cw_status status;
+        enum cw_start_answer start; /* if the status is CW_OK */
+    } cases[] = {
+        {"HTTP/1.1 200 X\r\nContent-Length: 15\r\n\r\n{\"clockMs\":1234}",
+         CW_OK, CW_START_OK},
+        {"HTTP/1.1 409 X\r\nContent-Length: 18\r\n\r\n"
+         "{\"reason\":\"fence\"}",
+         CW_ERR_FENCED, CW_START_OK},
+        {"HTTP/1.1 409 X\r\nContent-Length: 16\r\n\r\n{\"reason\":\"old\"}",
+         CW_OK, CW_START_STALE},
+        {"HTTP/1.1 409 X\r\nContent-Length: 17\r\n\r\n{\"reason\":\"late\"}",
+         CW_OK, CW_START_LATE},
+        {"HTTP/1.1 409 X\r\nContent-Length: 17\r\n\r\n{\"reason\":\"room\"}",
+         CW_OK, CW_START_NO_CAPACITY},
+        {"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", CW_OK,
+         CW_START_OTHER_INCARNATION},
+        {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", CW_OK,
+         CW_START_REFUSED},
+        /* No final answer until the deadline. */
+        {"HTTP/1.1 100 X\r\n\r\n", CW_ERR_UNKNOWN, CW_START_OK},
+    };
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_start_order order = {
+        .run = {.job = 7, .run = 1}, .text = CW_LIT("x"), .epoch = 1};
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct start_outcome o = {0};
+        struct cw_worker_conn *c = ports.exec.open(&p, &id, &address);
+
+        assert_non_null(c);
+        assert_true(on_wire(cases[i].answer));
+        ports.exec.start(c, &order,
+                         cases[i].status == CW_ERR_UNKNOWN ? 300 : 5000,
+                         on_started, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        assert_int_equal(o.status, cases[i].status);
+        assert_int_equal(o.status == CW_OK ? o.answer : cases[i].start,
+                         cases[i].start);
+        ports.exec.close(c);
+    }
+}
+
 int
 main(void)
 {
@@ -475,6 +552,8 @@
         cmocka_unit_test_setup_teardown(test_acks_reach_one_incarnation, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_unreadable_rows, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_answers_to_a_start, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_proofs_asked.c
+++ b/tests/test_proofs_asked.c
@@ -71,6 +71,46 @@
     }
 }
 
+/* TWICE: a worker's drain, and an accepted move of its VM, stop tasks or take
+ * the worker out of the list; they end no run before a proof has come. */
+static void
+test_drains_and_moves_end_nothing(void **state)
+{
+    static const char kinds[] = {'d', 'm'};
+
+    (void)state;
+    for (size_t i = 0; i < COUNT(kinds); i++) {
+        struct cw_worker_entry e = rig_worker_entry();
+        struct cw_name pool = {0};
+        struct fleet_vm *v;
+        const struct cw_task *t;
+
+        rig_init(&rig);
+        rig_take_over(&rig);
+        rig_set_membership(&rig, 60000);
+        t = rig_run_task(&rig, 1);
+        v = cw_fleet_vm_get(&rig.d, &e.vm);
+        v->worker = rig.worker;
+        v->phase = CW_VM_UP;
+        v->listed_at = rig.clock.now;
+        assert_false(cw_fleet_vm_is_idle(&rig.d, v, rig.clock.now));
+        if (kinds[i] == 'd') {
+            e.draining = true;
+            (void)cw_sched_worker_listed(rig.d.sched, &e, rig.clock.now);
+            assert_int_equal(t->state, CW_RUN_STOPPING);
+        }
+        else {
+            (void)cw_name_set(&pool, CW_LIT("off"));
+            cw_fleet_order_begin(&rig.d, v, VM_MOVE, &pool, 0);
+            rig_commit(&rig, CW_OK);
+            rig_answer_move(&rig, CW_OK);
+            assert_int_equal(rig.worker->state, CW_WORKER_GONE);
+        }
+        assert_ptr_equal(t->worker, rig.worker);
+        rig_finish(&rig);
+    }
+}
+
 /* ---- reports ---- */
 
 /* TWICE: a report lists at most 500 ends. A run that such a report does not
@@ -494,6 +534,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_lease_of_a_sent_start, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_drains_and_moves_end_nothing,
+                                        setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
