--- a/tests/test_proofs_asked.c
+++ b/tests/test_proofs_asked.c
@@ -502,6 +502,21 @@
     rig_finish(&rig);
 }
 
+/* TWICE: a scheduler to which the store no longer assigns the role goes on
+ * until its membership ends or a worker refuses its fence. */
+static void
+test_role_ends_with_the_part(void **state)
+{
+    (void)state;
+    rig_init(&rig);
+    rig_take_over(&rig);
+    rig_join(&rig, 2, true);
+    assert_int_equal(rig.d.role, CW_ROLE_SCHEDULER);
+    rig_join(&rig, 3, false);
+    assert_int_equal(rig.d.role, CW_ROLE_FOLLOWER);
+    rig_finish(&rig);
+}
+
 int
 main(void)
 {
@@ -536,6 +551,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_drains_and_moves_end_nothing,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_role_ends_with_the_part, setup,
+                                        teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
