--- a/standins/soak/build.sh
+++ b/standins/soak/build.sh
@@ -15,5 +15,7 @@
 done
 ${CC:-cc} $flags -o target/soak/crowd standins/soak/crowd.c review/lib/*.c \
     -ljansson -lpthread
+${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -shared -fPIC \
+    -o target/soak/clock_shift.so standins/soak/clock_shift.c -ldl
 [ "${1:-}" = cases ] || ${CC:-cc} $flags -o target/soak/soak \
     standins/soak/soak*.c review/lib/http.c review/lib/rig.c -ljansson -lpthread
--- a/standins/soak/soak.c
+++ b/standins/soak/soak.c
@@ -1,9 +1,10 @@
 /* soak FOLDER SEED KINDS SECONDS: real daemons, stand-ins, random faults of
  * the kinds (names with commas between). Exits with 1 if a rule was broken. */
-#include "soak.h"
+#include "trouble.h"
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define SETTLE_MS 2000
 #define DRAIN_MS 6000
@@ -101,6 +102,9 @@
         soak_daemons = atoi(daemons);
     }
     rig_init(argc, argv);
+    if (strstr(kinds, "clock") != NULL) {
+        clock_prepare(argv[1]);
+    }
     rec("soak: seed=%llu kinds=%s", (unsigned long long)seed, kinds);
     start_all();
     clients_start(seed, ms);
--- a/standins/soak/soak_clients.c
+++ b/standins/soak/soak_clients.c
@@ -1,5 +1,5 @@
 /* Clients: submissions, repeats, cancels, states. */
-#include "soak.h"
+#include "trouble.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -203,6 +203,57 @@
     }
 }
 
+/* Shown as cancelled: its cancel has been carried out. */
+static void
+ask_cancelled(struct rng *r, struct job_row *j, const char *path)
+{
+    char text[256];
+    int status = ask(r, any_daemon(r), "GET", path, "", text, sizeof(text));
+
+    if (status == 200 && strstr(text, "\"cancelled\"") != NULL &&
+        j->cancelled == 0) {
+        j->cancelled = now_ms();
+        j->cancel_status = status;
+    }
+}
+
+void
+cancel_again(struct rng *r)
+{
+    char body[900];
+    char path[64];
+    char text[256];
+    struct job_row *j = new_job(r, body, sizeof(body));
+    int status;
+
+    client_key = tenant_key(j->tenant);
+    snprintf(path, sizeof(path), PREFIX "%s", j->id);
+    submit_job(r, j, path, body);
+    if (j->accepted == 0) {
+        return;
+    }
+    sleep_ms(rng_range(r, 0, 20));
+    j->cancel_sent = now_ms();
+    status = call(any_daemon(r), "DELETE", path, "", rng_range(r, 1, 30), text,
+                  sizeof(text));
+    if (status / 100 == 2 || status == 410) {
+        j->cancelled = now_ms();
+        j->cancel_status = status;
+    }
+    for (int i = 0; i < 2; i++) {
+        (void)call(any_daemon(r), "POST", path, body, KEPT_TIMEOUT_MS, text,
+                   sizeof(text));
+        sleep_ms(rng_chance(r, 50) ? rng_range(r, 0, 60)
+                                   : rng_range(r, 500, 4000));
+    }
+    if (rng_chance(r, 60) || j->lasting) {
+        cancel_job(r, j, path);
+    }
+    else {
+        ask_cancelled(r, j, path);
+    }
+}
+
 /* Asks for jobs of some seconds ago: they should have ended. */
 static void
 ask_older(struct rng *r)
--- a/standins/soak/soak_daemon.c
+++ b/standins/soak/soak_daemon.c
@@ -5,6 +5,9 @@
 
 #include "soak.h"
 
+/* NOLINTNEXTLINE(bugprone-suspicious-include): it needs the state above. */
+#include "trouble_clock.c"
+
 struct epoch_row {
     long long epoch;
     int daemon;
@@ -81,7 +84,13 @@
         late = rng_chance(&append_rng, append_late[i]);
         pthread_mutex_unlock(&rig_lock);
     }
+    if (d->link == LINK_OK && store_compacted_read(r, a)) {
+        return true;
+    }
     ok = daemon_store_request(ctx, r, a);
+    if (ok) {
+        store_compacted_first(r, a);
+    }
     if (late) {
         sleep_ms(900);
     }
--- a/standins/soak/soak_faults.c
+++ b/standins/soak/soak_faults.c
@@ -1,99 +1,64 @@
 /* Faults at random times, in series and overlapping. */
-#include "soak.h"
+#include "trouble.h"
 
 #include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define FAULTS_MAX 4000
+#define QUIET_MS 5000
 
-static struct fault_row faults[FAULTS_MAX];
-static int fault_count;
 static pthread_mutex_t fault_lock = PTHREAD_MUTEX_INITIALIZER;
 static bool daemon_busy[SOAK_DAEMONS];
 static bool worker_busy[SOAK_RUNNERS];
+static bool calls_busy[SOAK_RUNNERS]; /* of trouble with calls, with overlap */
+static bool overlap;
 static int running;
 
-/* ---- the list ---- */
+/* ---- claims: one fault of a process at a time ---- */
 
-int
-fault_begin(int daemon, const char *fmt, ...)
+static bool
+claim(bool *flag)
 {
-    va_list ap;
-    int id;
+    bool got;
 
     pthread_mutex_lock(&fault_lock);
-    id = fault_count < FAULTS_MAX - 1 ? fault_count++ : fault_count;
-    faults[id] = (struct fault_row){.from = now_ms(), .daemon = daemon};
-    va_start(ap, fmt);
-    vsnprintf(faults[id].text, sizeof(faults[id].text), fmt, ap);
-    va_end(ap);
+    got = !*flag;
+    *flag = true;
     pthread_mutex_unlock(&fault_lock);
-    rec("fault %d: %s", id, faults[id].text);
-    return id;
+    return got;
 }
 
-void
-fault_end(int id)
+static void
+release(bool *flag)
 {
     pthread_mutex_lock(&fault_lock);
-    faults[id].to = now_ms();
+    *flag = false;
     pthread_mutex_unlock(&fault_lock);
 }
 
-void
-fault_list(long long from, long long to)
+bool
+fault_claim_worker(int i)
 {
-    for (int i = 0; i < fault_count; i++) {
-        const struct fault_row *f = &faults[i];
-
-        if (f->from <= to && (f->to == 0 || f->to >= from)) {
-            rec("    fault %d: %s (%.3f s to %.3f s)", i, f->text,
-                (double)f->from / 1000, (double)f->to / 1000);
-        }
-    }
+    return claim(&worker_busy[i]);
 }
 
-bool
-daemon_in_touch(int daemon, long long at)
+void
+fault_release_worker(int i)
 {
-    bool in = true;
-
-    pthread_mutex_lock(&fault_lock);
-    for (int i = 0; i < fault_count; i++) {
-        const struct fault_row *f = &faults[i];
-
-        if (f->daemon == daemon && f->from <= at &&
-            (f->to == 0 || f->to >= at - STABLE_MS)) {
-            in = false;
-        }
-    }
-    pthread_mutex_unlock(&fault_lock);
-    return in;
+    release(&worker_busy[i]);
 }
 
-/* ---- claims: one fault of a process at a time ---- */
-
-static bool
-claim(bool *flag)
+bool
+fault_claim_daemon(int i)
 {
-    bool got;
-
-    pthread_mutex_lock(&fault_lock);
-    got = !*flag;
-    *flag = true;
-    pthread_mutex_unlock(&fault_lock);
-    return got;
+    return claim(&daemon_busy[i]);
 }
 
-static void
-release(bool *flag)
+void
+fault_release_daemon(int i)
 {
-    pthread_mutex_lock(&fault_lock);
-    *flag = false;
-    pthread_mutex_unlock(&fault_lock);
+    release(&daemon_busy[i]);
 }
 
 /* ---- the kinds ---- */
@@ -111,6 +76,12 @@
     return i >= 0 ? i : (int)rng_range(r, 0, soak_daemons - 1);
 }
 
+int
+fault_scheduler(struct rng *r)
+{
+    return scheduler(r);
+}
+
 static void
 kill_daemon(int i)
 {
@@ -325,7 +296,8 @@
     LOSE,
     KILLALL,
     KINDS,
-    WITHDRAW = KINDS /* once in each run, halfway */
+    ALL_KINDS = KINDS + TROUBLES,
+    WITHDRAW = ALL_KINDS /* once in each run, halfway */
 };
 
 static const char *const kind_names[KINDS] = {
@@ -446,6 +418,23 @@
     }
 }
 
+/* Trouble of soak_trouble.c. With overlap, one of a runner's life and one of
+ * its calls may be there at a time. */
+static void
+run_trouble(struct rng *r, int kind, int i)
+{
+    enum trouble_place at = trouble_at(kind);
+    bool *flag = at == AT_CALLS && overlap ? &calls_busy[i] : &worker_busy[i];
+
+    if (at == AT_NONE) {
+        trouble_run(r, kind, i);
+    }
+    else if (claim(flag)) {
+        trouble_run(r, kind, i);
+        release(flag);
+    }
+}
+
 static void *
 run_fault(void *arg)
 {
@@ -454,7 +443,10 @@
     bool at_worker =
         (f->kind >= CRASH && f->kind <= STARTSLOW) || f->kind == ENTRY;
 
-    if (!at_worker) {
+    if (f->kind >= KINDS && f->kind < ALL_KINDS) {
+        run_trouble(&f->r, f->kind - KINDS, i);
+    }
+    else if (!at_worker) {
         run_daemon_fault(&f->r, f->kind);
     }
     else if (claim(&worker_busy[i])) {
@@ -472,22 +464,30 @@
     return NULL;
 }
 
-/* Bits of the kinds that a list of names selects. */
-static unsigned
-parse_kinds(const char *names)
+static bool
+list_has(const char *names, const char *name)
 {
-    unsigned out = 0;
+    const char *p = names;
+    size_t n = strlen(name);
 
-    for (int i = 0; i < KINDS; i++) {
-        const char *p = names;
-        size_t n = strlen(kind_names[i]);
+    for (; (p = strstr(p, name)) != NULL; p += n) {
+        if ((p == names || p[-1] == ',') && (p[n] == '\0' || p[n] == ',')) {
+            return true;
+        }
+    }
+    return false;
+}
 
-        for (; (p = strstr(p, kind_names[i])) != NULL; p += n) {
-            bool first = p == names || p[-1] == ',';
+/* Bits of the kinds that a list of names selects. */
+static uint64_t
+parse_kinds(const char *names)
+{
+    uint64_t out = 0;
 
-            if (first && (p[n] == '\0' || p[n] == ',')) {
-                out |= 1U << i;
-            }
+    for (int i = 0; i < ALL_KINDS; i++) {
+        if (list_has(names,
+                     i < KINDS ? kind_names[i] : trouble_names[i - KINDS])) {
+            out |= (uint64_t)1 << i;
         }
     }
     return out;
@@ -521,13 +521,27 @@
     pthread_detach(t);
 }
 
+/* Damage that only a takeover shows: some quiet seconds, then the scheduler is
+ * lost. */
+static void
+end_with_takeover(struct rng *r)
+{
+    (void)daemon_reap();
+    sleep_ms(QUIET_MS);
+    do_kill(r, 1, scheduler(r));
+    sleep_ms(QUIET_MS);
+}
+
 void
 faults_run(uint64_t seed, const char *kinds, long long until)
 {
     struct rng r = {seed};
-    unsigned set = parse_kinds(kinds);
+    uint64_t set = parse_kinds(kinds);
+    /* Lists of the first kinds only draw as before the others came. */
+    int last = set >> KINDS == 0 ? KINDS : ALL_KINDS;
     bool withdrawn = false;
 
+    overlap = list_has(kinds, "overlap");
     while (now_ms() < until) {
         int kind;
 
@@ -543,9 +557,12 @@
             begin_fault(&r, WITHDRAW);
         }
         do {
-            kind = (int)rng_range(&r, 0, KINDS - 1);
+            kind = (int)rng_range(&r, 0, last - 1);
         } while ((set >> kind & 1) == 0);
         begin_fault(&r, kind);
     }
     wait_faults();
+    if (last == ALL_KINDS) {
+        end_with_takeover(&r);
+    }
 }
--- a/standins/soak/soak_runner.c
+++ b/standins/soak/soak_runner.c
@@ -14,6 +14,11 @@
 static int start_answer_late[SOAK_RUNNERS];
 static struct rng start_rng = {78};
 
+static bool soak_worker_request(void *ctx, struct req *r, struct answer *a);
+
+/* NOLINTNEXTLINE(bugprone-suspicious-include): it needs the state above. */
+#include "trouble_runner.c"
+
 int
 worker_index(const struct worker *w)
 {
@@ -66,11 +71,11 @@
     pthread_mutex_unlock(&rig_lock);
 }
 
+/* A start, with the faults of starts only. A runner without a place in soak_w
+ * has none. */
 static bool
-soak_worker_request(void *ctx, struct req *r, struct answer *a)
+start_request(struct worker *w, int i, struct req *r, struct answer *a)
 {
-    struct worker *w = ctx;
-    int i = worker_index(w);
     json_t *o;
     bool lost;
     bool late;
@@ -79,25 +84,23 @@
     int before;
     unsigned life;
 
-    if (strcmp(r->path, "/v1/run-start") != 0 || i < 0) {
-        return worker_request(ctx, r, a);
-    }
     o = json_loads(r->body, 0, NULL);
     pthread_mutex_lock(&rig_lock);
-    lost = rng_chance(&start_rng, start_lost[i]);
-    late = rng_chance(&start_rng, start_exec_late[i]);
-    slow = rng_chance(&start_rng, start_answer_late[i]);
+    lost = i >= 0 && rng_chance(&start_rng, start_lost[i]);
+    late = i >= 0 && rng_chance(&start_rng, start_exec_late[i]);
+    slow = i >= 0 && rng_chance(&start_rng, start_answer_late[i]);
     life = w->server.life;
     pthread_mutex_unlock(&rig_lock);
     if (late) {
         sleep_ms(700 + (long long)(rng_next(&start_rng) % 2000));
     }
     pthread_mutex_lock(&rig_lock);
-    ok = life == w->server.life && w->up && !w->cut;
+    ok = life == w->server.life && w->up &&
+         (!w->cut || (i >= 0 && store_cut[i]));
     before = exec_count;
     pthread_mutex_unlock(&rig_lock);
     if (ok) {
-        ok = worker_request(ctx, r, a);
+        ok = worker_request(w, r, a);
         file_start(o, late, before);
     }
     json_decref(o);
@@ -107,6 +110,24 @@
     return ok && !lost && !late;
 }
 
+static bool
+soak_worker_request(void *ctx, struct req *r, struct answer *a)
+{
+    struct worker *w = ctx;
+    int i = worker_index(w);
+    bool start = strcmp(r->path, "/v1/run-start") == 0;
+    bool ok;
+
+    if (i >= 0 && meets_trouble(w, i, r, a, &ok)) {
+        return ok;
+    }
+    ok = start ? start_request(w, i, r, a) : worker_request(w, r, a);
+    if (i >= 0) {
+        trouble_after(w, i, start);
+    }
+    return ok;
+}
+
 void
 soak_wrap_worker(int i)
 {
--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -4,6 +4,9 @@
 
 #include "soak.h"
 
+/* NOLINTNEXTLINE(bugprone-suspicious-include): it needs the state above. */
+#include "trouble_store.c"
+
 /* The members in another order: the owner of each partition changes. */
 void
 store_deal_again(void)
--- /dev/null
+++ b/standins/soak/trouble.h
@@ -0,0 +1,86 @@
+/* Further kinds of trouble: at the runners' calls and lives, at the store's
+ * log, at the daemons' time of day, and from clients. */
+#ifndef SOAK_TROUBLE_H
+#define SOAK_TROUBLE_H
+
+#include "soak.h"
+
+struct req;
+struct answer;
+
+/* ---- runners: calls ---- */
+
+/* What the calls to a runner meet; zero: nothing. */
+struct call_trouble {
+    int late;        /* percent of orders carried out 2 to 12 s later */
+    bool any_life;   /* such an order reaches a later life too; holds do not */
+    int reset;       /* percent of starts after which connections are reset */
+    int refuse;      /* percent of calls answered 503 or 429 */
+    int slow;        /* percent of calls answered late */
+    bool hang;       /* no call is read or answered */
+    bool mute;       /* reports get no answer */
+    unsigned fronts; /* bits of the daemons whose calls do not arrive */
+};
+
+void worker_calls(int i, struct call_trouble t);
+/* All open connections of the runner are reset. */
+void worker_reset(int i);
+
+/* ---- runners: lives ---- */
+
+/* Heartbeats do not reach the store; calls arrive. */
+void worker_store_cut(int i, bool cut);
+/* Behind a cut from everything: it crashes and starts again under its id. */
+void worker_reborn_cut(int i);
+/* It has crashed for good; a new runner takes its address and its place. False
+ * when no further runner fits. */
+bool worker_replace(int i);
+/* It has crashed; it starts again under its id at another address, and another
+ * runner, returned, takes the former one. NULL when none fits. */
+struct worker *worker_move(int i);
+/* Starts again with a time of day that is ms ahead. */
+void worker_restart_shifted(int i, long long ms);
+
+/* ---- store ---- */
+
+/* Records before the end of keyed.op and keyed.servers go; reads from earlier
+ * offsets are answered 410. */
+void store_compact(int keep);
+/* Applies the compaction to a read. True when it has the answer. */
+bool store_compacted_read(struct req *r, struct answer *a);
+void store_compacted_first(const struct req *r, struct answer *a);
+
+/* ---- daemons ---- */
+
+/* Connections to the store are reset. */
+void daemon_reset_store(int i);
+/* Before any daemon starts: loads the library that shifts the time of day. */
+void clock_prepare(const char *folder);
+/* Daemon i's time of day is ms ahead. */
+void clock_shift(int i, long long ms);
+
+/* ---- clients ---- */
+
+/* A job that is cancelled at once, with the answer lost, and handed in again.
+ */
+void cancel_again(struct rng *r);
+
+/* ---- kinds, in the order of trouble_names ---- */
+
+enum { TROUBLES = 18 };
+enum trouble_place { AT_LIFE, AT_CALLS, AT_NONE };
+
+extern const char *const trouble_names[TROUBLES];
+enum trouble_place trouble_at(int kind);
+/* i: the runner, claimed when trouble_at is not AT_NONE. */
+void trouble_run(struct rng *r, int kind, int i);
+
+/* Of soak_faults.c: claims of a runner's life, for kinds that take several. */
+bool fault_claim_worker(int i);
+void fault_release_worker(int i);
+/* The same of a daemon's process. */
+bool fault_claim_daemon(int i);
+void fault_release_daemon(int i);
+int fault_scheduler(struct rng *r);
+
+#endif
