--- a/standins/soak/trouble_clock.c
+++ b/standins/soak/daemon_trouble.h
@@ -1,5 +1,8 @@
 /* Part of soak_daemon.c, which has the daemons: their time of day, and resets
  * of their connections to the store. */
+#ifndef SOAK_DAEMON_TROUBLE_H
+#define SOAK_DAEMON_TROUBLE_H
+
 #include "trouble.h"
 
 #include <sys/mman.h>
@@ -60,3 +63,5 @@
     server_reset(&soak_d[i]->store);
     pthread_mutex_unlock(&rig_lock);
 }
+
+#endif
--- a/standins/soak/trouble_runner.c
+++ b/standins/soak/runner_trouble.h
@@ -1,5 +1,8 @@
 /* Part of soak_runner.c, which has the runners' state: calls that are late,
  * refused or unanswered, and lives that change address. */
+#ifndef SOAK_RUNNER_TROUBLE_H
+#define SOAK_RUNNER_TROUBLE_H
+
 #include "trouble.h"
 
 #define LATE_LEAST_MS 2000
@@ -306,3 +309,5 @@
     pthread_mutex_unlock(&rig_lock);
     return worker_at(former, w->cpu);
 }
+
+#endif
--- a/standins/soak/soak_daemon.c
+++ b/standins/soak/soak_daemon.c
@@ -5,8 +5,7 @@
 
 #include "soak.h"
 
-/* NOLINTNEXTLINE(bugprone-suspicious-include): it needs the state above. */
-#include "trouble_clock.c"
+#include "daemon_trouble.h"
 
 struct epoch_row {
     long long epoch;
--- a/standins/soak/soak_runner.c
+++ b/standins/soak/soak_runner.c
@@ -16,8 +16,7 @@
 
 static bool soak_worker_request(void *ctx, struct req *r, struct answer *a);
 
-/* NOLINTNEXTLINE(bugprone-suspicious-include): it needs the state above. */
-#include "trouble_runner.c"
+#include "runner_trouble.h"
 
 int
 worker_index(const struct worker *w)
--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -4,8 +4,7 @@
 
 #include "soak.h"
 
-/* NOLINTNEXTLINE(bugprone-suspicious-include): it needs the state above. */
-#include "trouble_store.c"
+#include "store_trouble.h"
 
 /* The members in another order: the owner of each partition changes. */
 void
--- a/standins/soak/soak_trouble.c
+++ b/standins/soak/soak_trouble.c
@@ -234,7 +234,7 @@
 static void
 do_clock(struct rng *r)
 {
-    bool shifted[SOAK_DAEMONS];
+    bool shifted[SOAK_DAEMONS] = {false};
     long long ms = step(r);
     int id = fault_begin(-1, "time of day of some daemons %lld ms ahead", ms);
 
--- a/standins/soak/trouble_store.c
+++ b/standins/soak/store_trouble.h
@@ -1,4 +1,7 @@
 /* Part of soak_store.c, which has the log: its compaction. */
+#ifndef SOAK_STORE_TROUBLE_H
+#define SOAK_STORE_TROUBLE_H
+
 #include "trouble.h"
 
 static struct {
@@ -67,3 +70,5 @@
         put_be(a->body + 8, first, 8);
     }
 }
+
+#endif
