--- a/standins/soak/cases/case_held.h
+++ b/standins/soak/cases/case_held.h
@@ -23,6 +23,7 @@
 static struct held_order held;
 /* Start orders are held, the last one stays: earlier ones never arrive. */
 static bool held_armed;
+static bool held_first; /* the first one stays; later ones arrive */
 /* Calls to this runner are silent until their callers give up. */
 static struct worker *held_cut;
 
@@ -41,6 +42,7 @@
     held.sent = now_ms();
     snprintf(held.target, sizeof(held.target), "%s", r->target);
     snprintf(held.task, sizeof(held.task), "%s", task == NULL ? "" : task);
+    held_armed = !held_first;
     json_decref(o);
     rec("runner %s: the start of %s run %d, fence=%lld, is held up", w->id,
         held.task, held.run, held.fence);
