--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -4,6 +4,8 @@
 
 #include "soak.h"
 
+#include "store_trouble.h"
+
 /* The members in another order: the owner of each partition changes. */
 void
 store_deal_again(void)
