Workers: acknowledge and renew only for the incarnation that is known

Callers saw a task start again after its end had been noted, and two runs of one task at once (TWICE). A worker restarted under its id on a VM whose time of day had gone back. A report with an earlier start than the known one is not believed for 2 s, but the answer made its connection count as that of the known process, so that the next call carried the former incarnation's acknowledgement and the end of its lease. Ends of the new life were forgotten unread, and their tasks started again as unlisted; or the worker held its runs for max_hold_ms while the scheduler counted lease_ms.

The call says for which incarnation the two are meant, and they go out only on a connection whose last report was of it. A report that is not believed permits no acknowledgement to a worker that closes each connection either.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -157,16 +157,15 @@
             a->next_report_at = now + REPORT_RETRY_MS;
         }
         r->sent_at = a->report_sent;
-        a->reported_at = a->report_sent;
         if (r->partial) {
             cw_log(CW_WARN, "report_unreadable",
                    "worker=%s running=%zu ended=%zu", a->worker->id.text,
                    r->running_count, r->ended_count);
             a->next_report_at = now + REPORT_RETRY_MS;
         }
-        a->known_at = a->report_sent;
+        a->reported_at = a->report_sent;
         if (!cw_sched_report(d->sched, a->worker, r, now)) {
-            a->known_at = 0;
+            a->reported_at = 0;
             a->next_report_at = now + REPORT_RETRY_MS;
         }
         a->report_due = a->worker->ack_pending > a->worker->acked
@@ -237,6 +236,7 @@
     bool busy = w->tasks != NULL || w->has_strays;
     struct cw_report_order o = {
         .epoch = d->epoch,
+        .born_wall = w->born_wall,
         .acked = w->acked,
         .wait_ms = w->contacted && busy ? report_wait(renewals) : 0};
     cw_ms timeout = o.wait_ms + REPORT_MARGIN_MS;
--- a/packages/jobd/agents_int.h
+++ b/packages/jobd/agents_int.h
@@ -38,9 +38,8 @@
     cw_ms report_sent;
     cw_ms next_report_at; /* not before; later while the loop lags behind */
     cw_ms report_due;
-    cw_ms answered_at;         /* the last report came */
-    cw_ms reported_at;         /* call that it answered */
-    cw_ms known_at;            /* the same; 0: the report was not believed */
+    cw_ms answered_at; /* the last report came */
+    cw_ms reported_at; /* call that it answered; 0: it was not believed */
     uint32_t unproved_reports; /* in a row */
     uint32_t starts_open;
     cw_ms start_at;        /* last start that was sent */
--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -233,8 +233,8 @@
     };
 
     so.run.checkpoint = cw_str_from(t->checkpoint);
-    o->bound = a->known_at != 0 && d->ports.exec.is_bound != NULL &&
-               d->ports.exec.is_bound(a->conn, a->known_at);
+    o->bound = a->reported_at != 0 && d->ports.exec.is_bound != NULL &&
+               d->ports.exec.is_bound(a->conn, a->reported_at);
     cw_sched_start_bound(t, o->bound, o->unanswered);
     if (!o->bound) {
         cw_worker_start_sent(d->sched, a->worker, now);
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -185,8 +185,9 @@
  * could reach only that one. */
 struct cw_report_order {
     uint64_t epoch;
-    int64_t until_ms; /* end of the lease on the worker's clock; 0: none */
-    uint64_t acked;   /* acknowledges ended runs with numbers up to this */
+    int64_t born_wall; /* incarnation that the next two are meant for */
+    int64_t until_ms;  /* end of the lease on the worker's clock; 0: none */
+    uint64_t acked;    /* acknowledges ended runs with numbers up to this */
     bool until_unproved;
     bool acked_unproved;
     cw_ms wait_ms; /* waits up to this long for a run to end */
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -153,6 +153,30 @@
     assert_false(o->until_unproved || o->acked_unproved);
 }
 
+/* TWICE: a worker that closes each connection got the acknowledgement of its
+ * former incarnation after a report of a later one that was not believed yet,
+ * as its clock had gone back: ends were forgotten unseen. */
+static void
+test_no_acks_after_an_unbelieved_report(void **state)
+{
+    const struct cw_report_order *o = &rig.report_order;
+    struct cw_run_row row = cw_task_row(rig_run_task(&rig, 1));
+
+    (void)state;
+    cw_agents_scan(&rig.d, rig.clock.now);
+    rig_set_membership(&rig, 60000);
+    answer_running(&row, false);
+    answer_running(&row, false);
+    assert_true(o->acked_unproved);
+    rig.worker->born_wall = 5; /* the report is of 1 */
+    rig_advance(&rig, 300);
+    rig_answer_report(&rig, &(struct cw_run_report){.born_wall = 1});
+    rig_advance(&rig, 300);
+    cw_agents_scan(&rig.d, rig.clock.now);
+    assert_true(rig.report.open);
+    assert_false(o->acked_unproved);
+}
+
 /* Guards against runs that count for max_hold_ms on a sound worker: after an
  * idle time its connection is new, which does not make it one that closes
  * each.
@@ -586,6 +610,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_worker_that_closes_connections,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_no_acks_after_an_unbelieved_report, setup, teardown),
         cmocka_unit_test_setup_teardown(
             test_idle_connections_are_no_closed_ones, setup, teardown),
         cmocka_unit_test_setup_teardown(
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -347,6 +347,53 @@
     o->status = s;
 }
 
+/* TWICE: a worker restarted on a VM whose time of day had gone back. Its
+ * report was not believed at first, but the next call carried what was meant
+ * for the incarnation before: ends were forgotten unseen, and the lease was
+ * longer than counted. */
+static void
+test_acks_reach_the_known_incarnation(void **state)
+{
+    (void)state;
+    static const struct {
+        int64_t known;
+        bool carries;
+    } cases[] = {{2, false}, {2, false}, {1, true}, {1, true}, {0, false}};
+    struct cw_platform p = {.loop = &loop};
+    struct cw_job_ports ports = {.ctx = &p};
+    struct cw_worker_conn *c;
+    struct cw_name id;
+    struct cw_name address;
+
+    pf_worker_port(&ports);
+    (void)cw_name_set(&id, CW_LIT("i-1"));
+    (void)cw_name_set(&address, cw_str_from(server.address));
+    c = ports.exec.open(&p, &id, &address);
+    assert_non_null(c);
+    assert_true(on_wire("HTTP/1.1 200 X\r\nContent-Length: 46\r\n\r\n"
+                        "{\"clockMs\":5,\"running\":[],\"ended\":[],"
+                        "\"born\":1}"));
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        const struct cw_report_order order = {.epoch = 1,
+                                              .born_wall = cases[i].known,
+                                              .until_ms = 486000,
+                                              .acked = 57};
+        struct report_outcome o = {0};
+
+        ports.exec.poll(c, &order, 5000, on_report, &o);
+        while (o.done == 0) {
+            uv_run(&loop, UV_RUN_ONCE);
+        }
+        assert_int_equal(o.status, CW_OK);
+        assert_int_equal(o.proved, cases[i].carries);
+        assert_int_equal(strstr(server.last, "\"ackedThrough\":57") != NULL,
+                         cases[i].carries);
+        assert_int_equal(strstr(server.last, "untilMs") != NULL,
+                         cases[i].carries);
+    }
+    ports.exec.close(c);
+}
+
 /* A worker that restarted under its id took the acknowledgement of its former
  * incarnation for its own and forgot ends that were never seen, so that their
  * tasks ran twice; and it took the end of the lease for far ahead on its new
@@ -579,6 +626,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_unwell_worker_is_not_gone, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_acks_reach_the_known_incarnation,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(test_acks_reach_one_incarnation, setup,
                                         teardown),
         cmocka_unit_test_setup_teardown(test_unreadable_rows, setup, teardown),
