Soak: a site of 6 daemons and 49 runners in five services

Cause: the users saw two runs of one task at once at a site of this size, and the soak played 10 runners in one service.

Change: SOAK_SITE=1 plays 6 daemons and 49 runners of 16 cores (9, 9, 11, 12, 8; the last is a spare pool whose VMs are off), a queue for each service, demand that is five times the mean in turn, larger jobs, lasting ones of 5 tasks, and gangs, which the runners of the soak begin when all members are there. A full array (runs, starts, runs rejected at a runner, connections, gangs) ends the run with exit 2. Without the variable the size, the draws of random numbers and the faults stay as they were.

--- a/standins/soak/soak.c
+++ b/standins/soak/soak.c
@@ -4,6 +4,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define SETTLE_MS 2000
 #define DRAIN_MS 6000
@@ -11,6 +12,7 @@
 struct daemon *soak_d[SOAK_DAEMONS];
 int soak_daemons = 4;
 struct worker *soak_w[SOAK_RUNNERS];
+int soak_runners;
 
 uint64_t
 rng_next(struct rng *r)
@@ -37,14 +39,9 @@
 static void
 start_all(void)
 {
-    const char *v = getenv("SOAK_CPU");
-    int cpu = v == NULL ? 3000 : atoi(v);
-
     tenants_put(false);
-    for (int i = 0; i < SOAK_RUNNERS; i++) {
-        soak_w[i] = worker_new(SERVICE, cpu);
-        soak_wrap_worker(i);
-    }
+    site_runners_new();
+    gangs_start();
     for (int i = 0; i < soak_daemons; i++) {
         char name[16];
 
@@ -61,6 +58,25 @@
     sleep_ms(SETTLE_MS);
 }
 
+/* Status and state of a job, "" for none. */
+static int
+ask_job(const struct job_row *j, struct daemon *d, char *state, size_t size)
+{
+    char path[64];
+    char body[256];
+    int status;
+
+    snprintf(path, sizeof(path), "%s%s", site_prefix(j->service), j->id);
+    client_key = tenant_key(j->tenant);
+    status = call(d, "GET", path, "", 3000, body, sizeof(body));
+    state[0] = '\0';
+    if (strstr(body, "\"state\":\"") != NULL) {
+        snprintf(state, size, "%s", strstr(body, "\"state\":\"") + 9);
+        state[strcspn(state, "\"")] = '\0';
+    }
+    return status;
+}
+
 /* What is shown at the end of each job that should have succeeded. */
 static int
 ask_all(void)
@@ -75,9 +91,7 @@
         if (j.accepted == 0 || j.cancel_sent != 0 || j.lasting) {
             continue;
         }
-        client_key = tenant_key(j.tenant);
-        status =
-            get_state(soak_d[i % soak_daemons], j.id, state, sizeof(state));
+        status = ask_job(&j, soak_d[i % soak_daemons], state, sizeof(state));
         if (status != 200 || state[0] != 's') {
             rec("END: job %s, accepted at %.3f s, is %d %s", j.id,
                 (double)j.accepted / 1000, status, state);
@@ -97,11 +111,19 @@
     int unfinished;
     int n;
 
+    if (site_is_large()) {
+        soak_daemons = 6;
+    }
     if (daemons != NULL) {
         soak_daemons = atoi(daemons);
     }
+    if (soak_daemons < 1 || soak_daemons > SOAK_DAEMONS) {
+        fprintf(stderr, "SOAK_N must be 1 to %d\n", SOAK_DAEMONS);
+        return 2;
+    }
     rig_init(argc, argv);
-    rec("soak: seed=%llu kinds=%s", (unsigned long long)seed, kinds);
+    rec("soak: seed=%llu kinds=%s site=%d", (unsigned long long)seed, kinds,
+        site_is_large());
     start_all();
     clients_start(seed, ms);
     faults_run(seed, rig_trouble() ? kinds : "", ms);
--- a/standins/soak/soak.h
+++ b/standins/soak/soak.h
@@ -7,8 +7,8 @@
 
 #include <stdint.h>
 
-#define SOAK_DAEMONS 9 /* at most */
-#define SOAK_RUNNERS 10
+#define SOAK_DAEMONS 9  /* at most */
+#define SOAK_RUNNERS 56 /* at most */
 #define CANCEL_MS 3000
 #define VISIBLE_MS 3000
 #define STABLE_MS 3000
@@ -40,6 +40,26 @@
 void fault_list(long long from, long long to);
 bool daemon_in_touch(int daemon, long long at);
 
+/* ---- size ---- */
+
+#define SITE_SERVICES 5 /* the last one is a spare pool */
+
+/* SOAK_SITE=1: 6 daemons and 49 runners in five services; otherwise 4 and 10
+ * in one. */
+bool site_is_large(void);
+int site_service_count(void);
+const char *site_service(int service);
+/* Path that the jobs of a service have, with a slash at its end. */
+const char *site_prefix(int service);
+bool site_is_spare(int service);
+/* Creates the runners; those of the spare pool are off. */
+void site_runners_new(void);
+/* The members routes and services of the configuration, with a comma at the
+ * end. */
+void site_config(char *out, size_t size);
+/* The demand of a service is at its peak: in turn, for 3 s of 16 s. */
+bool site_peak(int service, long long now);
+
 /* ---- daemons ---- */
 
 extern struct daemon *soak_d[SOAK_DAEMONS];
@@ -66,6 +86,7 @@
 /* ---- runners ---- */
 
 extern struct worker *soak_w[SOAK_RUNNERS];
+extern int soak_runners; /* number */
 
 /* Percent of start orders: answer lost, carried out late, answered late. */
 void worker_start_faults(int i, int lost, int exec_late, int answer_late);
@@ -73,6 +94,12 @@
 void worker_entry_removed(int i);
 void soak_wrap_worker(int i);
 int worker_index(const struct worker *w);
+/* The machine is off: no process, no entry. */
+void worker_off(int i);
+/* Ends the run when an array of a stand-in is nearly full. */
+void worker_check_arrays(void);
+/* Gangs work from the time when all their members have begun. */
+void gangs_start(void);
 
 struct start_row {
     int exec;       /* index of the run that it began; -1: none */
@@ -93,6 +120,7 @@
     char id[20];
     char spec[80];
     int tenant;
+    int service;
     int cpu; /* of each task */
     bool lasting;
     long long accepted;  /* 2xx; 0: not */
--- a/standins/soak/soak_clients.c
+++ b/standins/soak/soak_clients.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CLIENTS 24
+#define CLIENTS 48 /* at most */
 #define JOBS_MAX 8000
 
 static struct job_row jobs[JOBS_MAX];
@@ -14,6 +14,7 @@
 static pthread_t threads[CLIENTS];
 static long long ends_at;
 static struct rng seeds[CLIENTS];
+static int clients_used;
 static __thread struct kept kept;
 
 int
@@ -71,15 +72,97 @@
     return call(d, method, path, body, KEPT_TIMEOUT_MS, out, size);
 }
 
+/* What a job consists of: one or two steps with equal tasks. */
+struct job_size {
+    int tenant;
+    int count;
+    int ms;
+    int cpu;
+    bool two;
+    bool lasting;
+    bool gang;
+};
+
+static struct job_size
+small_size(struct rng *r)
+{
+    struct job_size z = {0};
+
+    z.count = (int)rng_range(r, 1, 5);
+    z.ms = (int)rng_range(r, 300, 1300);
+    z.cpu = (int)rng_range(r, 4, 9) * 100;
+    z.two = rng_chance(r, 30);
+    z.tenant = rng_chance(r, 15) ? TENANT_SMALL : TENANT_WIDE;
+    z.lasting = rng_chance(r, 3);
+    if (z.lasting) {
+        z.count = 1;
+    }
+    return z;
+}
+
+/* As at the site: more tasks, larger ones, gangs. */
+static struct job_size
+large_size(struct rng *r)
+{
+    struct job_size z = {0};
+
+    z.count = (int)rng_range(r, 5, 8);
+    z.ms = (int)rng_range(r, 500, 2500);
+    z.cpu = (int)rng_range(r, 8, 30) * 100;
+    z.two = rng_chance(r, 30);
+    z.tenant = rng_chance(r, 2) ? TENANT_SMALL : TENANT_WIDE;
+    z.lasting = rng_chance(r, 3);
+    if (z.tenant == TENANT_SMALL) {
+        z.cpu = 400;
+    }
+    if (z.lasting) {
+        z.count = 5;
+    }
+    z.gang = !z.lasting && !z.two && rng_chance(r, 12);
+    return z;
+}
+
+static void
+write_spec(struct job_row *j, const struct job_size *z, int n)
+{
+    int len = snprintf(j->spec, sizeof(j->spec), "d=%d c=%d n=%d",
+                       z->lasting || z->gang ? 0 : z->ms, z->cpu, n);
+
+    if (z->gang) {
+        snprintf(j->spec + len, sizeof(j->spec) - (size_t)len, " g=%d t=%d",
+                 z->count, z->ms);
+    }
+}
+
+static void
+write_body(const struct job_row *j, const struct job_size *z, char *body,
+           size_t size)
+{
+    char step[200];
+    const char *more = z->lasting ? ",\"persistent\":true"
+                       : z->gang  ? ",\"gang\":true"
+                                  : "";
+
+    snprintf(step, sizeof(step),
+             "{\"count\":%d,\"cpu\":%d,\"memMb\":64,\"estimateMs\":%d",
+             z->count, z->cpu, z->ms);
+    if (z->two && !z->lasting) {
+        snprintf(body, size,
+                 "{\"spec\":\"%s\",\"steps\":[%s},%s,\"after\":[0]}]}",
+                 j->spec, step, step);
+    }
+    else {
+        snprintf(body, size, "{\"spec\":\"%s\",\"steps\":[%s%s}]}", j->spec,
+                 step, more);
+    }
+}
+
 static struct job_row *
-new_job(struct rng *r, char *body, size_t size)
+new_job(struct rng *r, int service, char *body, size_t size)
 {
     struct job_row *j;
     int n;
-    int count = (int)rng_range(r, 1, 5);
-    int ms = (int)rng_range(r, 300, 1300);
-    int cpu = (int)rng_range(r, 4, 9) * 100;
-    bool two = rng_chance(r, 30);
+    struct job_size z = site_is_large() ? large_size(r) : small_size(r);
 
     pthread_mutex_lock(&jobs_lock);
     n = jobs_used++;
@@ -88,29 +171,22 @@
     }
     j = &jobs[n];
     snprintf(j->id, sizeof(j->id), "%016x", 0x10000 + n);
-    j->tenant = rng_chance(r, 15) ? TENANT_SMALL : TENANT_WIDE;
-    j->cpu = cpu;
-    j->lasting = rng_chance(r, 3);
+    j->tenant = z.tenant;
+    j->service = service;
+    j->cpu = z.cpu;
+    j->lasting = z.lasting;
     pthread_mutex_unlock(&jobs_lock);
-    snprintf(j->spec, sizeof(j->spec), "d=%d c=%d n=%d", j->lasting ? 0 : ms,
-             cpu, n);
-    snprintf(body, size,
-             "{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
-             "\"memMb\":64,\"estimateMs\":%d%s}%s",
-             j->spec, j->lasting ? 1 : count, cpu, ms,
-             j->lasting ? ",\"persistent\":true" : "",
-             two && !j->lasting ? "," : "]}");
-    if (two && !j->lasting) {
-        size_t len = strlen(body);
-
-        snprintf(body + len, size - len,
-                 "{\"count\":%d,\"cpu\":%d,\"memMb\":64,\"estimateMs\":%d,"
-                 "\"after\":[0]}]}",
-                 count, cpu, ms);
-    }
+    write_spec(j, &z, n);
+    write_body(j, &z, body, size);
     return j;
 }
 
+static void
+job_path(const struct job_row *j, char *path, size_t size)
+{
+    snprintf(path, size, "%s%s", site_prefix(j->service), j->id);
+}
+
 static void
 submit_job(struct rng *r, struct job_row *j, const char *path,
            const char *body)
@@ -157,7 +233,7 @@
     long long at = now_ms();
     int status;
 
-    snprintf(path, sizeof(path), PREFIX "%s", j->id);
+    job_path(j, path, sizeof(path));
     client_key = tenant_key(j->tenant);
     status = ask(r, d, "GET", path, "", text, sizeof(text));
     if (status == 200) {
@@ -175,20 +251,21 @@
 }
 
 static void
-one_job(struct rng *r)
+one_job(struct rng *r, int service)
 {
     char body[900];
     char path[64];
-    struct job_row *j = new_job(r, body, sizeof(body));
+    struct job_row *j = new_job(r, service, body, sizeof(body));
+    long long lasts = site_is_large() ? 12000 : 6000;
 
     client_key = tenant_key(j->tenant);
-    snprintf(path, sizeof(path), PREFIX "%s", j->id);
+    job_path(j, path, sizeof(path));
     submit_job(r, j, path, body);
     if (j->accepted == 0) {
         return;
     }
     if (j->lasting || rng_chance(r, 15)) {
-        sleep_ms(j->lasting ? rng_range(r, 2000, 6000)
+        sleep_ms(j->lasting ? rng_range(r, 2000, lasts)
                             : rng_range(r, 60, 900));
         cancel_job(r, j, path);
         return;
@@ -247,7 +324,7 @@
     if (n < 0) {
         return;
     }
-    snprintf(path, sizeof(path), PREFIX "%s", jobs[n].id);
+    job_path(&jobs[n], path, sizeof(path));
     client_key = WITHDRAWN_KEY;
     tenants_note(WITHDRAWN_KEY, sent,
                  ask(r, d, "GET", path, "", text, sizeof(text)));
@@ -264,24 +341,48 @@
     }
 }
 
+/* At a site, clients of one service press in its peak and nearly rest
+ * between. */
+static void
+pause_client(struct rng *r, int service)
+{
+    long long until;
+
+    if (!site_is_large()) {
+        sleep_ms(3 * rng_range(r, 20, pause_max()));
+        return;
+    }
+    if (site_peak(service, now_ms())) {
+        sleep_ms(rng_range(r, 20, pause_max()));
+        return;
+    }
+    until = now_ms() + rng_range(r, 10, 40) * pause_max();
+    while (now_ms() < until && now_ms() < ends_at &&
+           !site_peak(service, now_ms())) {
+        sleep_ms(50);
+    }
+}
+
 static void *
 client(void *arg)
 {
     struct rng *r = arg;
+    int i = (int)(r - seeds);
+    int service = i % (site_is_large() ? SITE_SERVICES - 1 : 1);
 
     while (now_ms() < ends_at) {
         /* Quiet for a while, so that runners become idle. */
-        if (now_ms() / 1000 % 7 == 5) {
+        if (!site_is_large() && now_ms() / 1000 % 7 == 5) {
             sleep_ms(700);
         }
-        one_job(r);
+        one_job(r, service);
         if (rng_chance(r, 30)) {
             ask_older(r);
         }
         if (rng_chance(r, 30)) {
             call_without_access(r);
         }
-        sleep_ms(3 * rng_range(r, 20, pause_max()));
+        pause_client(r, service);
     }
     return NULL;
 }
@@ -290,7 +391,8 @@
 clients_start(uint64_t seed, long long until)
 {
     ends_at = until;
-    for (int i = 0; i < CLIENTS; i++) {
+    clients_used = site_is_large() ? CLIENTS : CLIENTS / 2;
+    for (int i = 0; i < clients_used; i++) {
         seeds[i].s = seed * 1000 + (uint64_t)i;
         pthread_create(&threads[i], NULL, client, &seeds[i]);
     }
@@ -299,7 +401,7 @@
 void
 clients_join(void)
 {
-    for (int i = 0; i < CLIENTS; i++) {
+    for (int i = 0; i < clients_used; i++) {
         pthread_join(threads[i], NULL);
     }
 }
--- a/standins/soak/soak_faults.c
+++ b/standins/soak/soak_faults.c
@@ -450,7 +450,7 @@
 run_fault(void *arg)
 {
     struct fault_job *f = arg;
-    int i = (int)rng_range(&f->r, 0, SOAK_RUNNERS - 1);
+    int i = (int)rng_range(&f->r, 0, soak_runners - 1);
     bool at_worker =
         (f->kind >= CRASH && f->kind <= STARTSLOW) || f->kind == ENTRY;
 
@@ -532,6 +532,7 @@
         int kind;
 
         sleep_ms(rng_range(&r, 300, 2200));
+        worker_check_arrays();
         if (running == 0) {
             (void)daemon_reap();
         }
--- a/standins/soak/soak_runner.c
+++ b/standins/soak/soak_runner.c
@@ -6,6 +6,12 @@
 #include "soak.h"
 
 #define STARTS_MAX 40000
+/* What review/lib has room for, less what may come between two looks. */
+#define EXECS_MAX 15000
+#define REJECTED_MAX 3500
+#define CONNS_MAX 480
+#define GANGS_MAX 2000
+#define GANG_WAIT_MS 3000
 
 static struct start_row starts[STARTS_MAX];
 static int starts_used;
@@ -17,7 +23,7 @@
 int
 worker_index(const struct worker *w)
 {
-    for (int i = 0; i < SOAK_RUNNERS; i++) {
+    for (int i = 0; i < soak_runners; i++) {
         if (soak_w[i] == w) {
             return i;
         }
@@ -25,6 +31,179 @@
     return -1;
 }
 
+void
+worker_off(int i)
+{
+    struct worker *w = soak_w[i];
+
+    pthread_mutex_lock(&rig_lock);
+    w->up = false;
+    w->listed = false;
+    put_locked("keyed.servers", w->id, "");
+    close(w->server.fd);
+    w->server.fd = -1;
+    pthread_mutex_unlock(&rig_lock);
+}
+
+static int
+open_conns(const struct server *s)
+{
+    int n = 0;
+
+    for (int i = 0; i < 512; i++) {
+        n += s->conns[i] != 0;
+    }
+    return n;
+}
+
+void
+worker_check_arrays(void)
+{
+    const char *full = NULL;
+
+    pthread_mutex_lock(&rig_lock);
+    if (exec_count > EXECS_MAX) {
+        full = "runs";
+    }
+    for (int i = 0; i < soak_runners && full == NULL; i++) {
+        const struct worker *w = soak_w[i];
+
+        full = w->rejected_count > REJECTED_MAX ? "runs rejected at a runner"
+               : w->end_count > REJECTED_MAX    ? "ends of a runner"
+               : open_conns(&w->server) > CONNS_MAX ? "connections to a runner"
+                                                    : NULL;
+    }
+    pthread_mutex_unlock(&rig_lock);
+    if (full != NULL) {
+        rig_exit(2, "too many %s", full);
+    }
+}
+
+/* ---- gangs ---- */
+
+/* A run of a step whose spec has g=COUNT t=MS. Its members do nothing until
+ * all of them are there. */
+struct gang {
+    char step[64]; /* ID.K.STEP. */
+    int run;
+    int count;
+    int ms;
+    bool begun;
+    bool over;
+};
+
+static struct gang gangs[GANGS_MAX];
+static int gang_count;
+
+/* With the lock held. */
+static void
+gang_add(const char *task, int run, const char *spec)
+{
+    const char *p = strstr(spec, " g=");
+    struct gang g = {.run = run};
+    size_t n = (size_t)(strrchr(task, '.') + 1 - task);
+
+    if (p == NULL || sscanf(p, " g=%d t=%d", &g.count, &g.ms) != 2) {
+        return;
+    }
+    memcpy(g.step, task, n);
+    for (int i = 0; i < gang_count; i++) {
+        if (gangs[i].run == run && strcmp(gangs[i].step, g.step) == 0) {
+            return;
+        }
+    }
+    if (gang_count == GANGS_MAX) {
+        pthread_mutex_unlock(&rig_lock);
+        rig_exit(2, "too many gangs");
+    }
+    gangs[gang_count++] = g;
+}
+
+static bool
+is_member(const struct gang *g, const struct run *r)
+{
+    return r->run == g->run && strncmp(r->task, g->step, strlen(g->step)) == 0;
+}
+
+static int
+gang_present(const struct gang *g)
+{
+    int n = 0;
+
+    for (int i = 0; i < soak_runners; i++) {
+        for (struct run *r = soak_w[i]->runs; r != NULL; r = r->next) {
+            n += is_member(g, r);
+        }
+    }
+    return n;
+}
+
+/* Begins the work of all members, or ends those that are over. */
+static void
+gang_members(const struct gang *g, bool begin, long long now)
+{
+    for (int i = 0; i < soak_runners; i++) {
+        struct run **link = &soak_w[i]->runs;
+
+        while (*link != NULL) {
+            struct run *r = *link;
+
+            if (is_member(g, r) && begin) {
+                r->ends_at = now + g->ms;
+            }
+            else if (is_member(g, r) &&
+                     (g->begun || now > execs[r->exec].began + GANG_WAIT_MS)) {
+                end_run(soak_w[i], link, g->begun ? "broken" : "alone");
+                continue;
+            }
+            link = &r->next;
+        }
+    }
+}
+
+static void
+gang_tick(struct gang *g, long long now)
+{
+    int n = gang_present(g);
+
+    if (!g->begun && n == g->count) {
+        gang_members(g, true, now);
+        g->begun = true;
+        rec("gang %s run %d: %d members work", g->step, g->run, n);
+    }
+    else if (n < g->count) {
+        gang_members(g, false, now);
+        g->over = g->begun;
+    }
+}
+
+static void *
+gangs_run(void *arg)
+{
+    for (;;) {
+        sleep_ms(5);
+        pthread_mutex_lock(&rig_lock);
+        for (int i = 0; i < gang_count; i++) {
+            if (!gangs[i].over) {
+                gang_tick(&gangs[i], now_ms());
+            }
+        }
+        pthread_mutex_unlock(&rig_lock);
+    }
+    return arg;
+}
+
+void
+gangs_start(void)
+{
+    pthread_t t;
+
+    pthread_create(&t, NULL, gangs_run, NULL);
+    pthread_detach(t);
+}
+
+/* ---- start orders ---- */
+
 int
 start_count(void)
 {
@@ -48,21 +227,26 @@
     int run = (int)json_integer_value(json_object_get(o, "run"));
 
     pthread_mutex_lock(&rig_lock);
-    if (starts_used < STARTS_MAX) {
-        s = &starts[starts_used++];
-        s->exec = -1;
-        s->late = late;
-        s->sent = now_ms();
-        s->fence = json_integer_value(json_object_get(o, "fence"));
-        snprintf(s->task, sizeof(s->task), "%s", task ? task : "");
-        snprintf(s->spec, sizeof(s->spec), "%s", spec ? spec : "");
-        snprintf(s->checkpoint, sizeof(s->checkpoint), "%s", c ? c : "");
-        for (int i = before; i < exec_count; i++) {
-            if (strcmp(execs[i].task, s->task) == 0 && execs[i].run == run) {
-                s->exec = i;
-            }
+    if (starts_used == STARTS_MAX) {
+        pthread_mutex_unlock(&rig_lock);
+        rig_exit(2, "too many start orders");
+    }
+    s = &starts[starts_used++];
+    s->exec = -1;
+    s->late = late;
+    s->sent = now_ms();
+    s->fence = json_integer_value(json_object_get(o, "fence"));
+    snprintf(s->task, sizeof(s->task), "%s", task ? task : "");
+    snprintf(s->spec, sizeof(s->spec), "%s", spec ? spec : "");
+    snprintf(s->checkpoint, sizeof(s->checkpoint), "%s", c ? c : "");
+    for (int i = before; i < exec_count; i++) {
+        if (strcmp(execs[i].task, s->task) == 0 && execs[i].run == run) {
+            s->exec = i;
         }
     }
+    if (s->exec >= 0) {
+        gang_add(s->task, run, s->spec);
+    }
     pthread_mutex_unlock(&rig_lock);
 }
 
--- a/standins/soak/soak_tenants.c
+++ b/standins/soak/soak_tenants.c
@@ -20,7 +20,8 @@
 void
 tenants_put(bool withdrawn)
 {
-    char config[1024];
+    char config[4096];
+    char site[3072];
 
     pthread_mutex_lock(&lock);
     if (withdrawn && stored_withdrawn) {
@@ -28,20 +29,15 @@
         return;
     }
     stored_withdrawn = withdrawn;
-    snprintf(
-        config, sizeof(config),
-        "{\"version\":%d,\"routes\":[{\"name\":\"queue-1\",\"host\":\"" HOST
-        "\",\"pathPrefix\":\"" PREFIX
-        "\",\"kind\":\"unsafe\",\"timeoutMs\":3000,\"sloMs\":600,"
-        "\"priority\":1,\"service\":\"" SERVICE
-        "\",\"maxAttempts\":3,\"stretch\":1.6}],"
-        "\"services\":[{\"name\":\"" SERVICE
-        "\",\"enforcesCapacity\":true}],\"limits\":{},\"tenants\":["
-        "{\"name\":\"wide\",\"apiKeys\":[\"%s\"]},"
-        "{\"name\":\"small\",\"apiKeys\":[\"%s\"%s],"
-        "\"maxCount\":{\"cpu\":%d,\"memMb\":0,\"gpu\":0}}]}",
-        withdrawn ? 4 : 3, tenant_key(TENANT_WIDE), tenant_key(TENANT_SMALL),
-        withdrawn ? "" : ",\"" WITHDRAWN_KEY "\"", SMALL_CPU);
+    site_config(site, sizeof(site));
+    snprintf(config, sizeof(config),
+             "{\"version\":%d,%s\"limits\":{},\"tenants\":["
+             "{\"name\":\"wide\",\"apiKeys\":[\"%s\"]},"
+             "{\"name\":\"small\",\"apiKeys\":[\"%s\"%s],"
+             "\"maxCount\":{\"cpu\":%d,\"memMb\":0,\"gpu\":0}}]}",
+             withdrawn ? 4 : 3, site, tenant_key(TENANT_WIDE),
+             tenant_key(TENANT_SMALL),
+             withdrawn ? "" : ",\"" WITHDRAWN_KEY "\"", SMALL_CPU);
     store_put("keyed.op", "config", config);
     if (withdrawn) {
         withdrawn_at = now_ms();
