Soak: a control of VMs, waves, herds, and a takeover at the end of each run

Cause: no run of the soak moved or maintained a VM, added a daemon or ended many processes at once, and damage was found more than once only at a takeover after the last fault.

Change: a stand-in for the control of VMs (list in pages, moves, maintenance in waves, fencing by holder and token, busy and wave refusals, answers that are slow, missing or late), the kinds wave, vmslow, vmlate, vmsilent, vmbusy, addd, herd, herdw and quiet. A move or an upkeep ends all that runs on the machine and a runner with a new id joins, at the same address or another one; its earlier runs keep the name of their runner, so that the checks see all runners that ever lived. Each run now ends with 6 s without faults and a kill of the scheduler while clients go on. Runs without the new kinds draw the same faults as before.

--- a/standins/soak/soak.c
+++ b/standins/soak/soak.c
@@ -42,12 +42,16 @@
     tenants_put(false);
     site_runners_new();
     gangs_start();
+    if (site_is_large()) {
+        vms_start();
+    }
     for (int i = 0; i < soak_daemons; i++) {
         char name[16];
 
         snprintf(name, sizeof(name), "front-%d", i + 1);
         soak_d[i] = daemon_new(name);
         soak_wrap_daemon(i);
+        daemon_set_vm_control(i);
         daemon_start(soak_d[i]);
     }
     for (int i = 0; i < soak_daemons; i++) {
@@ -125,8 +129,12 @@
     rec("soak: seed=%llu kinds=%s site=%d", (unsigned long long)seed, kinds,
         site_is_large());
     start_all();
-    clients_start(seed, ms);
+    clients_start(seed);
     faults_run(seed, rig_trouble() ? kinds : "", ms);
+    if (rig_trouble()) {
+        faults_last_takeover();
+    }
+    clients_stop();
     clients_join();
     sleep_ms(DRAIN_MS);
     unfinished = ask_all();
--- a/standins/soak/soak.h
+++ b/standins/soak/soak.h
@@ -52,6 +52,10 @@
 /* Path that the jobs of a service have, with a slash at its end. */
 const char *site_prefix(int service);
 bool site_is_spare(int service);
+/* Runners at the begin. */
+int site_runner_count(int service);
+/* Of each runner, in thousandths. */
+int site_cores(void);
 /* Creates the runners; those of the spare pool are off. */
 void site_runners_new(void);
 /* The members routes and services of the configuration, with a comma at the
@@ -78,6 +82,11 @@
 void daemon_append_faults(int i, int lost, int late);
 void soak_wrap_daemon(int i);
 
+/* One more, which starts. */
+void daemon_add(void);
+/* Adds the control of VMs to its settings. */
+void daemon_set_vm_control(int i);
+
 /* ---- store ---- */
 
 /* All partitions are assigned anew. */
@@ -96,6 +105,13 @@
 int worker_index(const struct worker *w);
 /* The machine is off: no process, no entry. */
 void worker_off(int i);
+const char *worker_machine(int i);
+bool worker_is_up(int i);
+/* A move or an upkeep of its machine: all that runs there ends, the process is
+ * gone. Its entry is dropped at once or after its silence. */
+void worker_leave(int i, bool dropped);
+/* A new runner on the machine, with a new id; none if it is off. */
+void worker_join(int i, const char *service, bool off, bool same_address);
 /* Ends the run when an array of a stand-in is nearly full. */
 void worker_check_arrays(void);
 /* Gangs work from the time when all their members have begun. */
@@ -114,6 +130,24 @@
 int start_count(void);
 struct start_row start_get(int i);
 
+/* ---- control of VMs ---- */
+
+enum vm_fault {
+    VM_FAULT_SLOW,
+    VM_FAULT_LATE, /* half of the orders: 2 to 12 s later, not answered */
+    VM_FAULT_SILENT,
+    VM_FAULT_BUSY,
+    VM_MODES
+};
+
+void vms_start(void);
+int vms_port(void);
+void vms_fault(enum vm_fault f, bool on);
+/* Orders the maintenance of a share of the machines. */
+void vms_wave(struct rng *r);
+/* The service whose pool a machine belongs to. */
+int vms_service(int i);
+
 /* ---- clients ---- */
 
 struct job_row {
@@ -140,7 +174,9 @@
 int kept_call(struct kept *k, int i, const char *method, const char *path,
               const char *body, char *out, size_t size);
 
-void clients_start(uint64_t seed, long long until);
+void clients_start(uint64_t seed);
+/* Clients end their present jobs. */
+void clients_stop(void);
 void clients_join(void);
 /* Asks a daemon for a job with WITHDRAWN_KEY. */
 void client_ask_withdrawn(struct rng *r, struct daemon *d);
@@ -179,5 +215,28 @@
 /* ---- schedule of faults ---- */
 
 void faults_run(uint64_t seed, const char *kinds, long long until);
+/* Some time without faults, then the end of the scheduler's process. */
+void faults_last_takeover(void);
+/* A process has one fault of some kinds at a time. False: it has one. */
+bool daemon_claim(int i);
+void daemon_release(int i);
+bool worker_claim(int i);
+void worker_release(int i);
+
+/* Faults of a site. */
+enum {
+    SITE_WAVE,
+    SITE_VMSLOW,
+    SITE_VMLATE,
+    SITE_VMSILENT,
+    SITE_VMBUSY,
+    SITE_ADDD,
+    SITE_HERD,
+    SITE_HERDW,
+    SITE_QUIET,
+    SITE_KINDS
+};
+const char *site_kind_name(int kind);
+void site_fault(struct rng *r, int kind);
 
 #endif
--- a/standins/soak/soak_clients.c
+++ b/standins/soak/soak_clients.c
@@ -1,6 +1,7 @@
 /* Clients: submissions, repeats, cancels, states. */
 #include "soak.h"
 
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,7 +13,7 @@
 static int jobs_used;
 static pthread_mutex_t jobs_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_t threads[CLIENTS];
-static long long ends_at;
+static volatile long long ends_at;
 static struct rng seeds[CLIENTS];
 static int clients_used;
 static __thread struct kept kept;
@@ -388,9 +389,9 @@
 }
 
 void
-clients_start(uint64_t seed, long long until)
+clients_start(uint64_t seed)
 {
-    ends_at = until;
+    ends_at = LLONG_MAX;
     clients_used = site_is_large() ? CLIENTS : CLIENTS / 2;
     for (int i = 0; i < clients_used; i++) {
         seeds[i].s = seed * 1000 + (uint64_t)i;
@@ -398,6 +399,12 @@
     }
 }
 
+void
+clients_stop(void)
+{
+    ends_at = 0;
+}
+
 void
 clients_join(void)
 {
--- a/standins/soak/soak_daemon.c
+++ b/standins/soak/soak_daemon.c
@@ -98,6 +98,43 @@
     soak_d[i]->store.handle = soak_store_request;
 }
 
+void
+daemon_set_vm_control(int i)
+{
+    char path[256];
+    char text[2048];
+    size_t n;
+    FILE *f;
+
+    if (!site_is_large()) {
+        return;
+    }
+    snprintf(path, sizeof(path), "%s/%s.json", rig_scratch, soak_d[i]->name);
+    f = fopen(path, "r");
+    n = f == NULL ? 0 : fread(text, 1, sizeof(text) - 1, f);
+    text[n] = '\0';
+    if (f == NULL || fclose(f) != 0 || text[0] != '{' ||
+        (f = fopen(path, "w")) == NULL) {
+        rig_exit(2, "cannot rewrite the settings of a daemon");
+    }
+    fprintf(f, "{\"vm_control\":\"127.0.0.1:%d\",%s", vms_port(), text + 1);
+    fclose(f);
+}
+
+void
+daemon_add(void)
+{
+    int i = soak_daemons;
+    char name[24];
+
+    snprintf(name, sizeof(name), "front-%d", i + 1);
+    soak_d[i] = daemon_new(name);
+    soak_wrap_daemon(i);
+    daemon_set_vm_control(i);
+    daemon_start(soak_d[i]);
+    soak_daemons++;
+}
+
 void
 daemon_append_faults(int i, int lost, int late)
 {
--- a/standins/soak/soak_faults.c
+++ b/standins/soak/soak_faults.c
@@ -8,6 +8,11 @@
 #include <string.h>
 
 #define FAULTS_MAX 4000
+/* Before the kill of the scheduler by QUIET, and by the end of each run. */
+#define QUIET_MS 8000
+#define LAST_QUIET_MS 6000
+/* Clients go on for this time after the last kill. */
+#define LAST_TAKEOVER_MS 3000
 
 static struct fault_row faults[FAULTS_MAX];
 static int fault_count;
@@ -96,6 +101,30 @@
     pthread_mutex_unlock(&fault_lock);
 }
 
+bool
+daemon_claim(int i)
+{
+    return claim(&daemon_busy[i]);
+}
+
+void
+daemon_release(int i)
+{
+    release(&daemon_busy[i]);
+}
+
+bool
+worker_claim(int i)
+{
+    return claim(&worker_busy[i]);
+}
+
+void
+worker_release(int i)
+{
+    release(&worker_busy[i]);
+}
+
 /* ---- the kinds ---- */
 
 struct fault_job {
@@ -324,11 +353,13 @@
     ENTRY,
     LOSE,
     KILLALL,
-    KINDS,
+    SITE_FIRST,
+    QUIET = SITE_FIRST + SITE_QUIET,
+    KINDS = SITE_FIRST + SITE_KINDS,
     WITHDRAW = KINDS /* once in each run, halfway */
 };
 
-static const char *const kind_names[KINDS] = {
+static const char *const kind_names[SITE_FIRST] = {
     "kill",       "kill2",     "killany",   "stop",      "stopshort",
     "term",       "silent",    "busy",      "crash",     "cut",
     "cutfrom",    "startlost", "startlate", "startslow", "appendlost",
@@ -411,6 +442,7 @@
         do_withdraw(r);
         break;
     default:
+        site_fault(r, kind - SITE_FIRST);
         break;
     }
 }
@@ -472,21 +504,28 @@
     return NULL;
 }
 
+static const char *
+kind_name(int kind)
+{
+    return kind < SITE_FIRST ? kind_names[kind]
+                             : site_kind_name(kind - SITE_FIRST);
+}
+
 /* Bits of the kinds that a list of names selects. */
-static unsigned
+static uint64_t
 parse_kinds(const char *names)
 {
-    unsigned out = 0;
+    uint64_t out = 0;
 
     for (int i = 0; i < KINDS; i++) {
         const char *p = names;
-        size_t n = strlen(kind_names[i]);
+        size_t n = strlen(kind_name(i));
 
-        for (; (p = strstr(p, kind_names[i])) != NULL; p += n) {
+        for (; (p = strstr(p, kind_name(i))) != NULL; p += n) {
             bool first = p == names || p[-1] == ',';
 
             if (first && (p[n] == '\0' || p[n] == ',')) {
-                out |= 1U << i;
+                out |= 1ULL << i;
             }
         }
     }
@@ -525,7 +564,9 @@
 faults_run(uint64_t seed, const char *kinds, long long until)
 {
     struct rng r = {seed};
-    unsigned set = parse_kinds(kinds);
+    uint64_t set = parse_kinds(kinds);
+    /* Runs without the later kinds draw the same faults as before. */
+    int last = (set >> SITE_FIRST == 0 ? SITE_FIRST : KINDS) - 1;
     bool withdrawn = false;
 
     while (now_ms() < until) {
@@ -544,9 +585,24 @@
             begin_fault(&r, WITHDRAW);
         }
         do {
-            kind = (int)rng_range(&r, 0, KINDS - 1);
+            kind = (int)rng_range(&r, 0, last);
         } while ((set >> kind & 1) == 0);
+        if (kind == QUIET) {
+            wait_faults();
+            sleep_ms(QUIET_MS);
+            kind = KILL;
+        }
         begin_fault(&r, kind);
     }
     wait_faults();
 }
+
+void
+faults_last_takeover(void)
+{
+    struct rng r = {1};
+
+    sleep_ms(LAST_QUIET_MS);
+    do_kill(&r, 1, scheduler(&r));
+    sleep_ms(LAST_TAKEOVER_MS);
+}
--- a/standins/soak/soak_runner.c
+++ b/standins/soak/soak_runner.c
@@ -1,7 +1,14 @@
 /* The runners of review/lib, with faults of start orders, and a list of all
  * start orders that arrived. */
+/* Replaced below by versions that know machines that are away. */
+#define worker_cut rig_worker_cut
+#define worker_restart rig_worker_restart
 /* NOLINTNEXTLINE(bugprone-suspicious-include): its state is static. */
 #include "../../review/lib/runner.c"
+#undef worker_cut
+#undef worker_restart
+void worker_cut(struct worker *w, bool cut);
+void worker_restart(struct worker *w);
 
 #include "soak.h"
 
@@ -10,6 +17,7 @@
 #define EXECS_MAX 15000
 #define REJECTED_MAX 3500
 #define CONNS_MAX 480
+#define FORMER_MAX 4096
 #define GANGS_MAX 2000
 #define GANG_WAIT_MS 3000
 
@@ -19,6 +27,7 @@
 static int start_exec_late[SOAK_RUNNERS];
 static int start_answer_late[SOAK_RUNNERS];
 static struct rng start_rng = {78};
+static bool away[SOAK_RUNNERS]; /* its machine is moved, in upkeep or off */
 
 int
 worker_index(const struct worker *w)
@@ -37,6 +46,7 @@
     struct worker *w = soak_w[i];
 
     pthread_mutex_lock(&rig_lock);
+    away[i] = true;
     w->up = false;
     w->listed = false;
     put_locked("keyed.servers", w->id, "");
@@ -45,6 +55,145 @@
     pthread_mutex_unlock(&rig_lock);
 }
 
+/* ---- machines ---- */
+
+const char *
+worker_machine(int i)
+{
+    return soak_w[i]->machine;
+}
+
+bool
+worker_is_up(int i)
+{
+    bool up;
+
+    pthread_mutex_lock(&rig_lock);
+    up = soak_w[i]->up;
+    pthread_mutex_unlock(&rig_lock);
+    return up;
+}
+
+void
+worker_leave(int i, bool dropped)
+{
+    struct worker *w = soak_w[i];
+
+    pthread_mutex_lock(&rig_lock);
+    rec("runner %s: its machine %s is taken", w->id, w->machine);
+    away[i] = true;
+    w->up = false;
+    while (w->runs != NULL) {
+        struct run *r = w->runs;
+
+        w->runs = r->next;
+        execs[r->exec].ended = now_ms();
+        execs[r->exec].how = "taken";
+        free(r);
+    }
+    if (w->server.fd >= 0) {
+        close(w->server.fd);
+    }
+    w->server.fd = -1;
+    server_reset(&w->server);
+    if (dropped && w->listed) {
+        put_locked("keyed.servers", w->id, "");
+        w->listed = false;
+    }
+    pthread_mutex_unlock(&rig_lock);
+}
+
+static struct worker *former[FORMER_MAX];
+static int former_count;
+
+/* Runs of the past keep the name of the runner that they ran on. */
+static void
+keep_identity(const struct worker *w)
+{
+    struct worker *old = calloc(1, sizeof(*old));
+
+    if (old == NULL || former_count == FORMER_MAX) {
+        rig_exit(2, "too many former runners");
+    }
+    former[former_count++] = old;
+    memcpy(old->id, w->id, sizeof(old->id));
+    memcpy(old->machine, w->machine, sizeof(old->machine));
+    for (int i = 0; i < exec_count; i++) {
+        if (execs[i].worker == w) {
+            execs[i].worker = old;
+        }
+    }
+}
+
+void
+worker_join(int i, const char *service, bool off, bool same_address)
+{
+    static int joined;
+    struct worker *w = soak_w[i];
+
+    pthread_mutex_lock(&rig_lock);
+    if (w->listed) {
+        put_locked("keyed.servers", w->id, "");
+        w->listed = false;
+    }
+    if (!off) {
+        keep_identity(w);
+        snprintf(w->id, sizeof(w->id), "j-%04x", ++joined);
+        w->service = service;
+        if (!same_address) {
+            w->server.port = free_port();
+        }
+        away[i] = false;
+        w->up = true;
+        w->born = wall_ms();
+        w->clock_base = now_ms();
+        w->fence = 0;
+        w->until = 0;
+        w->end_count = 0;
+        w->end_number = 0;
+        w->rejected_count = 0;
+        w->sequence = 0;
+        rec("runner %s: joins %s on machine %s, born=%lld, address %s", w->id,
+            service, w->machine, w->born, same_address ? "kept" : "new");
+        if (!w->cut) {
+            w->server.fd = listen_on(w->server.port);
+            worker_beat(w);
+        }
+    }
+    pthread_mutex_unlock(&rig_lock);
+}
+
+void
+worker_cut(struct worker *w, bool cut)
+{
+    if (cut) {
+        rig_worker_cut(w, true);
+        return;
+    }
+    pthread_mutex_lock(&rig_lock);
+    rec("runner %s: the cut has healed", w->id);
+    w->cut = false;
+    if (w->up && w->server.fd < 0) {
+        w->server.fd = listen_on(w->server.port);
+        worker_beat(w);
+    }
+    pthread_mutex_unlock(&rig_lock);
+}
+
+void
+worker_restart(struct worker *w)
+{
+    int i = worker_index(w);
+    bool skip;
+
+    pthread_mutex_lock(&rig_lock);
+    skip = w->up || (i >= 0 && away[i]);
+    pthread_mutex_unlock(&rig_lock);
+    if (!skip) {
+        rig_worker_restart(w);
+    }
+}
+
 static int
 open_conns(const struct server *s)
 {
--- a/standins/soak/soak_site.c
+++ b/standins/soak/soak_site.c
@@ -57,6 +57,20 @@
     return services[service].spare;
 }
 
+int
+site_runner_count(int service)
+{
+    return site_is_large() ? services[service].runners : SMALL_RUNNERS;
+}
+
+int
+site_cores(void)
+{
+    const char *v = getenv("SOAK_CPU");
+
+    return v != NULL ? atoi(v) : site_is_large() ? LARGE_CORES : SMALL_CORES;
+}
+
 static void
 runners_of(int service, int count, int cpu)
 {
@@ -78,13 +92,8 @@
 void
 site_runners_new(void)
 {
-    const char *v = getenv("SOAK_CPU");
-    int cpu = site_is_large() ? LARGE_CORES : SMALL_CORES;
-
-    cpu = v == NULL ? cpu : atoi(v);
     for (int i = 0; i < site_service_count(); i++) {
-        runners_of(i, site_is_large() ? services[i].runners : SMALL_RUNNERS,
-                   cpu);
+        runners_of(i, site_runner_count(i), site_cores());
     }
 }
 
