Soak: faults at four runners of a site at a time; full lists end the run

Cause: with 49 runners a fault met each runner a fifth as often as with 10. The lists of faults and of epochs dropped rows when they were full.

The small size plays the same faults as before.

--- a/standins/soak/soak_daemon.c
+++ b/standins/soak/soak_daemon.c
@@ -5,6 +5,8 @@
 
 #include "soak.h"
 
+#define EPOCHS_MAX 4096
+
 struct epoch_row {
     long long epoch;
     int daemon;
@@ -12,7 +14,7 @@
     long long at; /* first append */
 };
 
-static struct epoch_row epochs[4096];
+static struct epoch_row epochs[EPOCHS_MAX];
 static int epoch_count;
 static int lives[SOAK_DAEMONS];
 static int append_lost[SOAK_DAEMONS];
@@ -56,12 +58,12 @@
             return;
         }
     }
-    if (epoch_count < 4096) {
-        epochs[epoch_count++] =
-            (struct epoch_row){epoch, i, lives[i], now_ms()};
-        rec("daemon %s: life %d uses epoch=%lld", soak_d[i]->name, lives[i],
-            epoch);
+    if (epoch_count == EPOCHS_MAX) {
+        rig_exit(2, "too many epochs");
     }
+    epochs[epoch_count++] = (struct epoch_row){epoch, i, lives[i], now_ms()};
+    rec("daemon %s: life %d uses epoch=%lld", soak_d[i]->name, lives[i],
+        epoch);
 }
 
 static bool
--- a/standins/soak/soak_faults.c
+++ b/standins/soak/soak_faults.c
@@ -2,83 +2,21 @@
 #include "soak.h"
 
 #include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define FAULTS_MAX 4000
 /* Before the kill of the scheduler by QUIET, and by the end of each run. */
 #define QUIET_MS 8000
 #define LAST_QUIET_MS 6000
 /* Clients go on for this time after the last kill. */
 #define LAST_TAKEOVER_MS 3000
 
-static struct fault_row faults[FAULTS_MAX];
-static int fault_count;
 static pthread_mutex_t fault_lock = PTHREAD_MUTEX_INITIALIZER;
 static bool daemon_busy[SOAK_DAEMONS];
 static bool worker_busy[SOAK_RUNNERS];
 static int running;
 
-/* ---- the list ---- */
-
-int
-fault_begin(int daemon, const char *fmt, ...)
-{
-    va_list ap;
-    int id;
-
-    pthread_mutex_lock(&fault_lock);
-    id = fault_count < FAULTS_MAX - 1 ? fault_count++ : fault_count;
-    faults[id] = (struct fault_row){.from = now_ms(), .daemon = daemon};
-    va_start(ap, fmt);
-    vsnprintf(faults[id].text, sizeof(faults[id].text), fmt, ap);
-    va_end(ap);
-    pthread_mutex_unlock(&fault_lock);
-    rec("fault %d: %s", id, faults[id].text);
-    return id;
-}
-
-void
-fault_end(int id)
-{
-    pthread_mutex_lock(&fault_lock);
-    faults[id].to = now_ms();
-    pthread_mutex_unlock(&fault_lock);
-}
-
-void
-fault_list(long long from, long long to)
-{
-    for (int i = 0; i < fault_count; i++) {
-        const struct fault_row *f = &faults[i];
-
-        if (f->from <= to && (f->to == 0 || f->to >= from)) {
-            rec("    fault %d: %s (%.3f s to %.3f s)", i, f->text,
-                (double)f->from / 1000, (double)f->to / 1000);
-        }
-    }
-}
-
-bool
-daemon_in_touch(int daemon, long long at)
-{
-    bool in = true;
-
-    pthread_mutex_lock(&fault_lock);
-    for (int i = 0; i < fault_count; i++) {
-        const struct fault_row *f = &faults[i];
-
-        if (f->daemon == daemon && f->from <= at &&
-            (f->to == 0 || f->to >= at - STABLE_MS)) {
-            in = false;
-        }
-    }
-    pthread_mutex_unlock(&fault_lock);
-    return in;
-}
-
 /* ---- claims: one fault of a process at a time ---- */
 
 static bool
@@ -478,15 +416,19 @@
     }
 }
 
+static bool
+is_at_worker(int kind)
+{
+    return (kind >= CRASH && kind <= STARTSLOW) || kind == ENTRY;
+}
+
 static void *
 run_fault(void *arg)
 {
     struct fault_job *f = arg;
     int i = (int)rng_range(&f->r, 0, soak_runners - 1);
-    bool at_worker =
-        (f->kind >= CRASH && f->kind <= STARTSLOW) || f->kind == ENTRY;
 
-    if (!at_worker) {
+    if (!is_at_worker(f->kind)) {
         run_daemon_fault(&f->r, f->kind);
     }
     else if (claim(&worker_busy[i])) {
@@ -592,7 +534,11 @@
             sleep_ms(QUIET_MS);
             kind = KILL;
         }
-        begin_fault(&r, kind);
+        /* As often at each runner of a site as of the small size. */
+        for (int i = site_is_large() && is_at_worker(kind) ? 4 : 1; i > 0;
+             i--) {
+            begin_fault(&r, kind);
+        }
     }
     wait_faults();
 }
