Merge the soak at the size of a site

Joined with the kinds of trouble at workers: one list of faults, one set of claims, one takeover at the end of each run; runs without the later kinds draw the same faults as before. reuse and reuseback are refused there, as a VM that moves may come back at the address that was taken.

--- a/standins/soak/soak_list.c
+++ b/standins/soak/soak_fault_list.c
@@ -1,4 +1,4 @@
-/* The list of faults, with their times. */
+/* The faults of a run, with their times. */
 #include "soak.h"
 
 #include <stdarg.h>
@@ -17,7 +17,10 @@
     int id;
 
     pthread_mutex_lock(&fault_lock);
-    id = fault_count < FAULTS_MAX - 1 ? fault_count++ : fault_count;
+    if (fault_count == FAULTS_MAX) {
+        rig_exit(2, "too many faults");
+    }
+    id = fault_count++;
     faults[id] = (struct fault_row){.from = now_ms(), .daemon = daemon};
     va_start(ap, fmt);
     vsnprintf(faults[id].text, sizeof(faults[id].text), fmt, ap);
--- a/standins/soak/soak_faults.c
+++ b/standins/soak/soak_faults.c
@@ -6,7 +6,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define QUIET_MS 5000
+/* Before the kill of the scheduler by QUIET, and by the end of each run. */
+#define QUIET_MS 8000
+#define LAST_QUIET_MS 6000
+/* Clients go on for this time after the last kill. */
+#define LAST_TAKEOVER_MS 3000
 
 static pthread_mutex_t fault_lock = PTHREAD_MUTEX_INITIALIZER;
 static bool daemon_busy[SOAK_DAEMONS];
@@ -38,25 +42,25 @@
 }
 
 bool
-fault_claim_worker(int i)
+worker_claim(int i)
 {
     return claim(&worker_busy[i]);
 }
 
 void
-fault_release_worker(int i)
+worker_release(int i)
 {
     release(&worker_busy[i]);
 }
 
 bool
-fault_claim_daemon(int i)
+daemon_claim(int i)
 {
     return claim(&daemon_busy[i]);
 }
 
 void
-fault_release_daemon(int i)
+daemon_release(int i)
 {
     release(&daemon_busy[i]);
 }
@@ -295,12 +299,14 @@
     ENTRY,
     LOSE,
     KILLALL,
-    KINDS,
+    SITE_FIRST,
+    QUIET = SITE_FIRST + SITE_QUIET,
+    KINDS = SITE_FIRST + SITE_KINDS,
     ALL_KINDS = KINDS + TROUBLES,
     WITHDRAW = ALL_KINDS /* once in each run, halfway */
 };
 
-static const char *const kind_names[KINDS] = {
+static const char *const kind_names[SITE_FIRST] = {
     "kill",       "kill2",     "killany",   "stop",      "stopshort",
     "term",       "silent",    "busy",      "crash",     "cut",
     "cutfrom",    "startlost", "startlate", "startslow", "appendlost",
@@ -383,6 +389,7 @@
         do_withdraw(r);
         break;
     default:
+        site_fault(r, kind - SITE_FIRST);
         break;
     }
 }
@@ -435,18 +442,22 @@
     }
 }
 
+static bool
+is_at_worker(int kind)
+{
+    return (kind >= CRASH && kind <= STARTSLOW) || kind == ENTRY;
+}
+
 static void *
 run_fault(void *arg)
 {
     struct fault_job *f = arg;
-    int i = (int)rng_range(&f->r, 0, SOAK_RUNNERS - 1);
-    bool at_worker =
-        (f->kind >= CRASH && f->kind <= STARTSLOW) || f->kind == ENTRY;
+    int i = (int)rng_range(&f->r, 0, soak_runners - 1);
 
     if (f->kind >= KINDS && f->kind < ALL_KINDS) {
         run_trouble(&f->r, f->kind - KINDS, i);
     }
-    else if (!at_worker) {
+    else if (!is_at_worker(f->kind)) {
         run_daemon_fault(&f->r, f->kind);
     }
     else if (claim(&worker_busy[i])) {
@@ -478,6 +489,16 @@
     return false;
 }
 
+static const char *
+kind_name(int kind)
+{
+    if (kind >= KINDS) {
+        return trouble_names[kind - KINDS];
+    }
+    return kind < SITE_FIRST ? kind_names[kind]
+                             : site_kind_name(kind - SITE_FIRST);
+}
+
 /* Bits of the kinds that a list of names selects. */
 static uint64_t
 parse_kinds(const char *names)
@@ -485,8 +506,7 @@
     uint64_t out = 0;
 
     for (int i = 0; i < ALL_KINDS; i++) {
-        if (list_has(names,
-                     i < KINDS ? kind_names[i] : trouble_names[i - KINDS])) {
+        if (list_has(names, kind_name(i))) {
             out |= (uint64_t)1 << i;
         }
     }
@@ -521,31 +541,26 @@
     pthread_detach(t);
 }
 
-/* Damage that only a takeover shows: some quiet seconds, then the scheduler is
- * lost. */
-static void
-end_with_takeover(struct rng *r)
-{
-    (void)daemon_reap();
-    sleep_ms(QUIET_MS);
-    do_kill(r, 1, scheduler(r));
-    sleep_ms(QUIET_MS);
-}
-
 void
 faults_run(uint64_t seed, const char *kinds, long long until)
 {
     struct rng r = {seed};
     uint64_t set = parse_kinds(kinds);
-    /* Lists of the first kinds only draw as before the others came. */
-    int last = set >> KINDS == 0 ? KINDS : ALL_KINDS;
+    /* Runs without the later kinds draw the same faults as before. */
+    int last = (set >> SITE_FIRST == 0 ? SITE_FIRST : ALL_KINDS) - 1;
     bool withdrawn = false;
 
     overlap = list_has(kinds, "overlap");
+    if (site_is_large() &&
+        (list_has(kinds, "reuse") || list_has(kinds, "reuseback"))) {
+        /* A VM that moves may come back at the address that was taken. */
+        rig_exit(2, "reuse and reuseback are for the small size");
+    }
     while (now_ms() < until) {
         int kind;
 
         sleep_ms(rng_range(&r, 300, 2200));
+        worker_check_arrays();
         if (running == 0) {
             (void)daemon_reap();
         }
@@ -557,12 +572,28 @@
             begin_fault(&r, WITHDRAW);
         }
         do {
-            kind = (int)rng_range(&r, 0, last - 1);
+            kind = (int)rng_range(&r, 0, last);
         } while ((set >> kind & 1) == 0);
-        begin_fault(&r, kind);
+        if (kind == QUIET) {
+            wait_faults();
+            sleep_ms(QUIET_MS);
+            kind = KILL;
+        }
+        /* As often at each runner of a site as of the small size. */
+        for (int i = site_is_large() && is_at_worker(kind) ? 4 : 1; i > 0;
+             i--) {
+            begin_fault(&r, kind);
+        }
     }
     wait_faults();
-    if (last == ALL_KINDS) {
-        end_with_takeover(&r);
-    }
+}
+
+void
+faults_last_takeover(void)
+{
+    struct rng r = {1};
+
+    sleep_ms(LAST_QUIET_MS);
+    do_kill(&r, 1, scheduler(&r));
+    sleep_ms(LAST_TAKEOVER_MS);
 }
--- a/standins/soak/soak_trouble.c
+++ b/standins/soak/soak_trouble.c
@@ -125,17 +125,17 @@
     bool mine[SOAK_RUNNERS] = {false};
     int id = fault_begin(-1, "power lost by all runners");
 
-    for (int i = 0; i < SOAK_RUNNERS; i++) {
-        mine[i] = fault_claim_worker(i);
+    for (int i = 0; i < soak_runners; i++) {
+        mine[i] = worker_claim(i);
         if (mine[i]) {
             worker_crash(soak_w[i]);
         }
     }
     sleep_ms(rng_range(r, 500, 4000));
-    for (int i = 0; i < SOAK_RUNNERS; i++) {
+    for (int i = 0; i < soak_runners; i++) {
         if (mine[i]) {
             worker_restart(soak_w[i]);
-            fault_release_worker(i);
+            worker_release(i);
         }
     }
     fault_end(id);
@@ -174,7 +174,7 @@
 
     worker_calls(i, (struct call_trouble){.reset = 40});
     while (now_ms() < until) {
-        for (int k = 0; k < SOAK_RUNNERS; k++) {
+        for (int k = 0; k < soak_runners; k++) {
             if (rng_chance(r, 30)) {
                 worker_reset(k);
             }
@@ -260,7 +260,7 @@
     int id = fault_begin(-1, "power lost by all daemons");
 
     for (int i = 0; i < soak_daemons; i++) {
-        mine[i] = fault_claim_daemon(i);
+        mine[i] = daemon_claim(i);
         if (mine[i]) {
             daemon_kill(soak_d[i]);
         }
@@ -269,7 +269,7 @@
     for (int i = 0; i < soak_daemons; i++) {
         if (mine[i]) {
             daemon_start_again(i);
-            fault_release_daemon(i);
+            daemon_release(i);
         }
     }
     fault_end(id);
--- a/standins/soak/trouble.h
+++ b/standins/soak/trouble.h
@@ -75,12 +75,7 @@
 /* i: the runner, claimed when trouble_at is not AT_NONE. */
 void trouble_run(struct rng *r, int kind, int i);
 
-/* Of soak_faults.c: claims of a runner's life, for kinds that take several. */
-bool fault_claim_worker(int i);
-void fault_release_worker(int i);
-/* The same of a daemon's process. */
-bool fault_claim_daemon(int i);
-void fault_release_daemon(int i);
+/* Of soak_faults.c. */
 int fault_scheduler(struct rng *r);
 
 #endif
