--- a/standins/soak/build.sh
+++ b/standins/soak/build.sh
@@ -15,7 +15,12 @@
 done
 ${CC:-cc} $flags -o target/soak/crowd standins/soak/crowd.c review/lib/*.c \
     -ljansson -lpthread
-${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -shared -fPIC \
-    -o target/soak/clock_shift.so standins/soak/clock_shift.c -ldl
+# The daemon with a time of day that the driver shifts, as target/cuminwalkd
+# below target/soak/clock. Needs make BUILD=target programs.
+mkdir -p target/soak/clock/target
+${CC:-cc} $flags -Wl,--wrap=clock_gettime \
+    -o target/soak/clock/target/cuminwalkd standins/soak/clock_shift.c \
+    target/packages/daemon/main.o target/libcwnode.a target/libcuminwalk.a \
+    $(make -s BUILD=target print-libs)
 [ "${1:-}" = cases ] || ${CC:-cc} $flags -o target/soak/soak \
     standins/soak/soak*.c review/lib/http.c review/lib/rig.c -ljansson -lpthread
--- a/standins/soak/runner_trouble.h
+++ b/standins/soak/runner_trouble.h
@@ -239,12 +239,13 @@
 worker_restart_shifted(int i, long long ms)
 {
     struct worker *w = soak_w[i];
-    int fd = listen_on(w->server.port);
 
     pthread_mutex_lock(&rig_lock);
-    begin_life(w, ms);
-    w->server.fd = fd;
-    worker_beat(w);
+    if (!w->up && !away[i]) {
+        begin_life(w, ms);
+        w->server.fd = listen_on(w->server.port);
+        worker_beat(w);
+    }
     pthread_mutex_unlock(&rig_lock);
 }
 
