Takeover: wait out the former scheduler's orders before a run counts as over

A run of the former scheduler that a report does not list counted as over at once, as the worker's fence rejects that scheduler's start from then on. The fence is kept by one incarnation: a start that the former scheduler sends in the rest of its membership begins at a worker that has restarted since, beside the task's next run. The report must now have been asked for after the former scheduler can send orders or renew leases (membership and 1 s).

--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -537,8 +537,10 @@
     uint64_t epoch;                    /* of this scheduler, for the log */
     uint64_t batch;                    /* number of the open batch */
     uint64_t committed;                /* batches up to here are durable */
-    cw_ms wall_offset;   /* wall time minus monotonic, an estimate */
-    bool plan_due;       /* of at least one pool */
+    cw_ms former_orders_until; /* a previous scheduler may send orders, or
+                                * renew leases, until then */
+    cw_ms wall_offset;         /* wall time minus monotonic, an estimate */
+    bool plan_due;             /* of at least one pool */
     bool uneven_workers; /* learns the speeds of workers and acts on them */
     double far_factor;   /* a task takes so many times as long outside the rack
                           * of its data; up to 1: as long */
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -163,6 +163,7 @@
 {
     cw_ms ends = now + s->limits.renewals_ms;
 
+    s->former_orders_until = ends;
     for (struct cw_pool *p = s->pool_list; p != NULL; p = p->next) {
         for (struct cw_worker *w = p->workers; w != NULL; w = w->next) {
             w->lapse_at = ends + longest(s->limits.lease_ms);
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -408,18 +408,21 @@
 
 /* True when a run that the report does not list has certainly ended. */
 static bool
-run_is_over(const struct cw_task *t, const struct cw_run_report *r)
+run_is_over(const struct cw_sched *s, const struct cw_task *t,
+            const struct cw_run_report *r)
 {
+    if (t->order_batch == 0) {
+        /* The worker's fence rejects a previous scheduler's start from now on,
+         * but a restarted worker has seen no fence. */
+        return r->sent_at >= s->former_orders_until;
+    }
     switch (t->state) {
     case CW_RUN_RUNNING:
-        return t->order_batch == 0 || t->state_since < r->sent_at;
+        return t->state_since < r->sent_at;
     case CW_RUN_STARTING:
-        /* The worker's fence rejects a previous scheduler's start from now
-         * on. */
-        return t->order_batch == 0;
+        return false;
     default:
-        return t->order_batch == 0 ||
-               (t->stop_answered_at != 0 && t->stop_answered_at <= r->sent_at);
+        return t->stop_answered_at != 0 && t->stop_answered_at <= r->sent_at;
     }
 }
 
@@ -432,7 +435,7 @@
     while (t != NULL) {
         struct cw_task *next = t->next;
 
-        if (t->last_report != w->reports && run_is_over(t, r)) {
+        if (t->last_report != w->reports && run_is_over(s, t, r)) {
             cw_task_requeue(s, t, CW_LOSS_UNLISTED, now);
         }
         t = next;
--- a/standins/soak/runner_trouble.h
+++ b/standins/soak/runner_trouble.h
@@ -231,7 +231,9 @@
     worker_crash(w);
     sleep_ms(300);
     pthread_mutex_lock(&rig_lock);
-    begin_life(w, 0);
+    if (!w->up && !away[i]) {
+        begin_life(w, 0);
+    }
     pthread_mutex_unlock(&rig_lock);
 }
 
--- a/tests/test_given_up.c
+++ b/tests/test_given_up.c
@@ -115,6 +115,9 @@
         jobs_take_over(&f);
         w = cw_sched_find_worker(&f.s, CW_LIT("w1"));
     }
+    if (e == TAKEN_OVER) {
+        f.now += f.s.limits.renewals_ms; /* of the former scheduler */
+    }
     f.now += 100;
     return w;
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -324,6 +324,7 @@
     jobs_report_end(&f, w, 1, r, CW_END_STOPPED);
     (void)jobs_flush(&f); /* durable, but the start is not sent */
     jobs_take_over(&f);
+    f.now += f.s.limits.renewals_ms;
     jobs_add_worker(&f, "w1", "v1", 4000);
     jobs_report_running(&f, cw_sched_find_worker(&f.s, CW_LIT("w1")), NULL, 0);
     jobs_commit(&f);
--- a/tests/test_jobs_incarnation.c
+++ b/tests/test_jobs_incarnation.c
@@ -166,6 +166,13 @@
         f.now += 5;
         report(w, 2000, 10, cases[i / 2].listed ? &row : NULL);
         assert_true(w->contacted);
+        if (phase >= LOADED_STARTING) {
+            /* The former scheduler may yet send a start to an incarnation that
+             * has not seen the fence. */
+            assert_non_null(only_task()->worker);
+            f.now += f.s.limits.renewals_ms;
+            report(w, 2000, 10, cases[i / 2].listed ? &row : NULL);
+        }
         assert_int_equal(only_task()->worker == NULL, cases[i / 2].over);
         jobs_teardown(&f);
         jobs_setup(&f);
--- a/tests/test_jobs_recovery.c
+++ b/tests/test_jobs_recovery.c
@@ -130,7 +130,12 @@
     /* the report lists one run; the fence rejects the start of the other */
     w = cw_sched_find_worker(&f.s, CW_LIT("w1"));
     assert_int_equal(w->task_count, 2);
-    f.now += 20;
+    f.now += f.s.limits.renewals_ms - 1;
+    jobs_report_running(&f, w, rows, 1);
+    jobs_commit(&f);
+    /* It might begin on an incarnation that has not seen the fence. */
+    assert_int_equal(jobs_count_ops(&f, 's'), 0);
+    f.now += 1;
     jobs_report_running(&f, w, rows, 1);
     jobs_commit(&f);
     assert_int_equal(jobs_count_ops(&f, 's'), 1);
