Workers: a start answered with an unnamed status may have been carried out

Only 400, 429 and 503 say that a start was refused; any other status counted the same, so that the task was placed again at once.

--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -583,6 +583,15 @@
          CW_START_OTHER_INCARNATION},
         {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", CW_OK,
          CW_START_REFUSED},
+        {"HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", CW_OK,
+         CW_START_REFUSED},
+        {"HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n", CW_OK,
+         CW_START_REFUSED},
+        /* It may have been carried out. */
+        {"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", CW_ERR_UNKNOWN,
+         CW_START_OK},
+        {"HTTP/1.1 504 X\r\nContent-Length: 0\r\n\r\n", CW_ERR_UNKNOWN,
+         CW_START_OK},
         /* No final answer until the deadline. */
         {"HTTP/1.1 100 X\r\n\r\n", CW_ERR_UNKNOWN, CW_START_OK},
     };
