Agents: no acknowledgement on new connections while a start may be late

To a worker that closes each connection acknowledgements go out when no start was sent since the last report was asked for, as another incarnation has no ends then. A start without an answer may begin its run later: it counts until order_late_ms after it was sent. Found by the reviewer in the rig; test_no_acks_while_a_start_may_be_late fails without the change.

--- a/packages/jobd/agents.c
+++ b/packages/jobd/agents.c
@@ -220,7 +220,8 @@
     if (a->unproved_reports < UNPROVED_REPORTS_MAX) {
         return;
     }
-    o->acked_unproved = a->starts_open == 0 && a->start_at < a->reported_at;
+    o->acked_unproved = a->starts_open == 0 && a->start_at < a->reported_at &&
+                        a->worker->late_start_until <= cw_jobd_now(a->d);
     o->until_unproved = o->until_ms > 0;
     if (o->until_unproved) {
         cw_worker_lease_unproved(a->d->sched, a->worker, arrives);
--- a/tests/test_agents.c
+++ b/tests/test_agents.c
@@ -177,6 +177,28 @@
     assert_false(o->acked_unproved);
 }
 
+/* TWICE: a start without an answer may yet begin the first run of another
+ * incarnation. An acknowledgement sent meanwhile to a worker that closes each
+ * connection could reach that one, and its end would be forgotten unseen. */
+static void
+test_no_acks_while_a_start_may_be_late(void **state)
+{
+    const struct cw_report_order *o = &rig.report_order;
+    struct cw_run_row row = cw_task_row(rig_run_task(&rig, 1));
+
+    (void)state;
+    cw_agents_scan(&rig.d, rig.clock.now);
+    rig_set_membership(&rig, 60000);
+    answer_running(&row, false);
+    rig.worker->late_start_until = rig.clock.now + 1000;
+    for (int i = 0; i < 5; i++) {
+        answer_running(&row, false);
+        assert_int_equal(o->acked_unproved,
+                         rig.clock.now >= rig.worker->late_start_until);
+    }
+    assert_true(o->acked_unproved);
+}
+
 /* Guards against runs that count for max_hold_ms on a sound worker: after an
  * idle time its connection is new, which does not make it one that closes
  * each.
@@ -612,6 +634,8 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(
             test_no_acks_after_an_unbelieved_report, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_no_acks_while_a_start_may_be_late,
+                                        setup, teardown),
         cmocka_unit_test_setup_teardown(
             test_idle_connections_are_no_closed_ones, setup, teardown),
         cmocka_unit_test_setup_teardown(
