Records: only a run that holds a usual lease is written as proved

The record took over the proof of a run at any writing of its job: also that of a start which was bound to a connection and repeated on another one later, and of a run that a later incarnation than the recorded one had listed, which holds its lease for up to max_hold_ms.

A run is written as proved once reports have listed it for 3 s and its worker holds no lease that is longer than usual; the record then names the incarnation that lists it. A start on a connection that leads to the known process counts with max_hold_ms like others until it is confirmed, and only its lateness does not count: so it is counted as on, whatever the platform does with it.

--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -221,7 +221,8 @@
 }
 
 static void
-send_start(struct cw_agent *a, struct order *o, struct cw_task *t, cw_ms now)
+send_start(struct cw_agent *a, struct order *o, const struct cw_task *t,
+           cw_ms now)
 {
     struct cw_jobd *d = a->d;
     struct cw_start_order so = {
@@ -235,10 +236,7 @@
     so.run.checkpoint = cw_str_from(t->checkpoint);
     o->bound = a->reported_at != 0 && d->ports.exec.is_bound != NULL &&
                d->ports.exec.is_bound(a->conn, a->reported_at);
-    cw_sched_start_bound(t, o->bound, o->unanswered);
-    if (!o->bound) {
-        cw_worker_start_sent(d->sched, a->worker, now);
-    }
+    cw_worker_start_sent(d->sched, a->worker, now);
     a->starts_open++;
     a->start_at = now;
     d->ports.exec.start(a->conn, &so, ORDER_TIMEOUT_MS, on_start, o);
--- a/packages/jobs/cw_jobs.h
+++ b/packages/jobs/cw_jobs.h
@@ -179,12 +179,10 @@
                               cw_ms arrives);
 /* A start was sent to the worker. */
 void cw_worker_start_sent(struct cw_sched *s, struct cw_worker *w, cw_ms now);
-/* Such a start, sent at a time, has no answer. */
+/* A start that was sent at a time has no answer, and went out on a connection
+ * that may lead to an incarnation which has not reported. */
 void cw_worker_start_unanswered(struct cw_sched *s, struct cw_worker *w,
                                 cw_ms sent_at);
-/* A start is sent that reaches the incarnation which reported last, or none.
- * again: an earlier send of it has no answer. */
-void cw_sched_start_bound(struct cw_task *t, bool bound, bool again);
 /* The worker's clock when it accepted a start: shows whether the incarnation
  * that reported last has carried it out. */
 void cw_sched_start_clock(struct cw_sched *s, const struct cw_worker *w,
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -66,6 +66,10 @@
  * later one that was started after the worker's time of day had gone back. */
 bool cw_worker_clock_went_back(struct cw_worker *w,
                                const struct cw_run_report *r, cw_ms now);
+/* No order may hold the worker's runs for longer than a lease of the usual
+ * length, given on the clock that is known. */
+bool cw_worker_lease_is_usual(const struct cw_sched *s,
+                              const struct cw_worker *w, cw_ms now);
 /* The listed incarnation lives now. It has not restarted since the previous
  * scheduler started runs on it, whose leases are then proved. */
 void cw_worker_seen_alive(struct cw_worker *w);
--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -184,9 +184,10 @@
     uint8_t state;   /* enum cw_run_state */
     bool started_up; /* a lasting task that has finished its start-up */
     bool proved; /* the incarnation that reports has carried out its start */
-    bool proof_recorded; /* the record says so */
-    bool preempted;      /* was stopped once for a higher priority */
-    uint32_t run;        /* number of the latest run, 0: none yet */
+    bool listed; /* reports have listed it, and its worker holds no longer
+                  * lease than usual: the record says that it is proved */
+    bool preempted; /* was stopped once for a higher priority */
+    uint32_t run;   /* number of the latest run, 0: none yet */
     uint32_t failures;
     struct cw_worker *worker;
     struct cw_task *prev; /* in the worker's list */
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -125,6 +125,13 @@
     return true;
 }
 
+bool
+cw_worker_lease_is_usual(const struct cw_sched *s, const struct cw_worker *w,
+                         cw_ms now)
+{
+    return w->lapse_at <= now + longest(s->limits.lease_ms);
+}
+
 void
 cw_worker_seen_alive(struct cw_worker *w)
 {
@@ -211,19 +218,12 @@
     }
 }
 
-void
-cw_sched_start_bound(struct cw_task *t, bool bound, bool again)
-{
-    t->proved = bound && (t->proved || !again);
-}
-
 void
 cw_sched_start_clock(struct cw_sched *s, const struct cw_worker *w,
                      const struct cw_run_row *r, int64_t clock_ms, cw_ms now)
 {
     struct cw_task *t = cw_sched_find_run(s, w, r);
     cw_ms age = now - w->clock_at + ANSWER_DELAY_MS;
-
     /* A process that already ran when the last report was sent is the one that
      * sent it. */
     if (t != NULL && w->clock_at != 0 &&
--- a/packages/jobs/jobs_place.c
+++ b/packages/jobs/jobs_place.c
@@ -227,7 +227,7 @@
     t->order_batch = s->batch;
     t->born_wall = w->born_wall;
     t->proved = false;
-    t->proof_recorded = false;
+    t->listed = false;
     t->stop_cause = CW_STOP_NONE;
     t->progress = (struct cw_run_progress){.resumed = t->checkpoint[0] != 0};
     cw_worker_lease_planned(s, w, now);
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -230,8 +230,7 @@
             r->vm = t->worker->vm.text;
             r->started_wall = t->started_wall;
             r->born = t->born_wall;
-            r->proved = t->proved;
-            t->proof_recorded = t->proved;
+            r->proved = t->listed;
         }
         if (t->state != CW_RUN_DONE) {
             r->checkpoint = t->checkpoint;
@@ -352,7 +351,7 @@
         t->started_wall = r->started_wall;
         t->born_wall = r->born;
         t->proved = r->proved;
-        t->proof_recorded = r->proved;
+        t->listed = r->proved;
     }
 }
 
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -392,8 +392,11 @@
         cw_task_set_state(t, CW_RUN_RUNNING);
         t->state_since = now;
     }
-    if (!t->proof_recorded && t->state == CW_RUN_RUNNING &&
-        now - t->state_since >= PROOF_RECORD_MS && !cw_job_ended(t->job)) {
+    if (!t->listed && t->state == CW_RUN_RUNNING && !cw_job_ended(t->job) &&
+        now - t->state_since >= PROOF_RECORD_MS &&
+        cw_worker_lease_is_usual(s, w, now)) {
+        t->listed = true;
+        t->born_wall = w->born_wall;
         cw_job_mark_dirty(s, t->job);
     }
     if (cw_task_step(t)->lasting && t->state == CW_RUN_RUNNING) {
--- a/packages/wire/cw_wire.pb-c.h
+++ b/packages/wire/cw_wire.pb-c.h
@@ -374,7 +374,7 @@
    */
   int64_t born;
   /*
-   * This incarnation was seen to have the run.
+   * Its reports have listed the run, and no lease was longer than usual.
    */
   protobuf_c_boolean proved;
 };
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -140,6 +140,68 @@
     }
 }
 
+static void
+use_product_limits(void)
+{
+    late.s.limits.lease_ms = 4500;
+    late.s.limits.renewals_ms = 2000;
+}
+
+/* Lets time pass until job 7's run is given up, which is not before its worker
+ * has ended it. */
+static void
+expect_lapse(const struct late_worker *r, uint32_t run)
+{
+    const struct cw_task *t = late_task(7);
+    cw_ms from = late.now;
+
+    while (t->worker != NULL && t->run == run && late.now - from < 60000) {
+        late.now += LATE_STEP_MS;
+        cw_sched_expire_leases(&late.s, late.now);
+    }
+    assert_true(t->worker == NULL || t->run != run);
+    assert_true(late.now >= r->lapses);
+}
+
+/* TWICE: a start reached an incarnation that was not known, which held its run
+ * for max_hold_ms. Its reports listed the run; the record then said that the
+ * lease is proved, so that a successor gave the run up after lease_ms. */
+static void
+test_record_of_a_run_with_a_long_lease(void **state)
+{
+    (void)state;
+    static const struct {
+        cw_ms listed_ms;
+        bool rewritten; /* the record, for another reason */
+    } cases[] = {{100, true}, {3050, false}, {5000, false}, {8000, true}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        struct late_worker r = {0};
+        struct late_start s;
+        cw_ms sent;
+
+        use_product_limits();
+        late_begin(&r);
+        sent = late.now;
+        s = late_start_job(&r, 7, 1);
+        late_begin_life(&r, late.now);
+        assert_true(late_carry_out(&r, &s));
+        cw_sched_start_answered(&late.s, r.worker, &s.row, CW_START_OK, false,
+                                late.now);
+        late_report(&r, 1);
+        if (cases[i].rewritten) {
+            cw_job_mark_dirty(&late.s, late_task(7)->job);
+        }
+        jobs_commit(&late);
+        late_run_to(sent + cases[i].listed_ms);
+        late_report(&r, 1);
+        jobs_commit(&late);
+        jobs_take_over(&late);
+        expect_lapse(&r, s.row.run);
+        late_next_case();
+    }
+}
+
 int
 main(void)
 {
@@ -152,6 +214,8 @@
         cmocka_unit_test_setup_teardown(
             test_start_keeps_the_lapse_of_loaded_runs, late_setup,
             late_teardown),
+        cmocka_unit_test_setup_teardown(test_record_of_a_run_with_a_long_lease,
+                                        late_setup, late_teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
