Leases: the clock of a start's answer is compared with the report's call

The clock in the answer to a start proves the incarnation when it began before the last report was asked for. Its age was counted from when the report was read, and 2 s: after a longer pause of the daemon a process that had begun after the report counted as the one that sent it.

--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -311,6 +311,7 @@
     uint32_t reports;       /* number of the latest report */
     int64_t clock_ms;       /* the worker's clock at clock_at */
     cw_ms clock_at;         /* the scheduler's clock then; 0: unknown */
+    cw_ms clock_asked_at;   /* the report with it was asked for */
     int64_t lease_until_ms; /* lease sent last, on its clock; 0: none */
     cw_ms lapse_at;         /* all leases of its runs have lapsed by then .. */
     cw_ms unproved_lapse_at; /* .. or then, of those not proved */
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -224,6 +224,10 @@
 {
     struct cw_task *t = cw_sched_find_run(s, w, r);
     cw_ms age = now - w->clock_at + ANSWER_DELAY_MS;
+
+    if (age < now - w->clock_asked_at) {
+        age = now - w->clock_asked_at; /* the report was read late */
+    }
     /* A process that already ran when the last report was sent is the one that
      * sent it. */
     if (t != NULL && w->clock_at != 0 &&
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -477,6 +477,7 @@
     cw_worker_note_silence(s, w, now);
     w->clock_ms = r->clock_ms;
     w->clock_at = now;
+    w->clock_asked_at = r->sent_at;
     w->seen_at = now;
     w->earlier_born = 0;
     w->reports++;
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -202,6 +202,36 @@
     }
 }
 
+/* TWICE: the clock in the answer to a start proves that the process ran when
+ * the last report was asked for. A report that was read seconds late, after a
+ * pause of the daemon, made a process that began after it count as the one
+ * that had sent it. */
+static void
+test_clock_after_a_pause(void **state)
+{
+    (void)state;
+    struct late_worker r = {0};
+    struct late_start s;
+    struct cw_run_report rep = {0};
+
+    use_product_limits();
+    late_begin(&r);
+    rep.sent_at = late.now;
+    rep.born_wall = r.born;
+    rep.clock_ms = late_clock(&r);
+    late.now += 100;
+    late_begin_life(&r, late.now);
+    late.now += 4000;
+    cw_sched_report(&late.s, r.worker, &rep, late.now);
+    s = late_start_job(&r, 7, 1);
+    s.until_ms = cw_worker_lease_until(&late.s, r.worker, true, late.now);
+    assert_true(late_carry_out(&r, &s));
+    cw_sched_start_answered(&late.s, r.worker, &s.row, CW_START_OK, false,
+                            late.now);
+    cw_sched_start_clock(&late.s, r.worker, &s.row, late_clock(&r), late.now);
+    expect_lapse(&r, s.row.run);
+}
+
 int
 main(void)
 {
@@ -216,6 +246,8 @@
             late_teardown),
         cmocka_unit_test_setup_teardown(test_record_of_a_run_with_a_long_lease,
                                         late_setup, late_teardown),
+        cmocka_unit_test_setup_teardown(test_clock_after_a_pause, late_setup,
+                                        late_teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
