--- a/packages/jobd/agents_orders.c
+++ b/packages/jobd/agents_orders.c
@@ -83,6 +83,7 @@
     return true;
 }
 
+/* unsent: the call never reached the worker. */
 static void
 apply_start_answer(struct order *o, enum cw_start_answer answer, bool unsent,
                    cw_ms now)
--- a/packages/jobs/cw_jobs_int.h
+++ b/packages/jobs/cw_jobs_int.h
@@ -70,8 +70,8 @@
  * length, given on the clock that is known. */
 bool cw_worker_lease_is_usual(const struct cw_sched *s,
                               const struct cw_worker *w, cw_ms now);
-/* The listed incarnation lives now. It has not restarted since the previous
- * scheduler started runs on it, whose leases are then proved. */
+/* The listed incarnation lives now: it has not restarted since the previous
+ * scheduler started runs on it, and their leases count as proved. */
 void cw_worker_seen_alive(struct cw_worker *w);
 /* The run is over: the task waits again. */
 void cw_task_lost(struct cw_sched *s, struct cw_task *t, enum cw_run_loss why,
--- a/packages/jobs/cw_jobs_state.h
+++ b/packages/jobs/cw_jobs_state.h
@@ -315,8 +315,9 @@
     int64_t lease_until_ms; /* lease sent last, on its clock; 0: none */
     cw_ms lapse_at;         /* all leases of its runs have lapsed by then .. */
     cw_ms unproved_lapse_at; /* .. or then, of those not proved */
-    cw_ms late_start_until;  /* starts without an answer may be carried out
-                              * until then, by any incarnation; 0: none */
+    cw_ms late_start_until;  /* starts without an answer, on connections that
+                              * may lead to a later incarnation, may be carried
+                              * out until then; 0: none */
     uint64_t ack_pending;    /* ends up to this number are in ack_batch */
     uint64_t ack_batch;
     uint64_t acked;             /* ends up to this number are durable */
--- a/packages/jobs/jobs_lease.c
+++ b/packages/jobs/jobs_lease.c
@@ -15,6 +15,7 @@
 /* Reports with an earlier start than the known one are believed when they have
  * come for this long. */
 #define EARLIER_REPORTS_MS 2000
+
 /* Longest time that a lease of this length lasts. */
 static cw_ms
 longest(cw_ms lease)
