--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -58,13 +58,16 @@
         cw_ms arrives; /* the same */
     } cases[] = {{300, 350}, {300, 2500}, {300, 8000}, {1000, 12000}};
 
-    for (size_t i = 0; i < COUNT(cases); i++) {
+    for (size_t k = 0; k < 2 * COUNT(cases); k++) {
+        size_t i = k / 2;
+        bool noticed = k % 2 == 1; /* the restart, before the call's end */
         struct late_worker r = {0};
         struct late_start first;
         struct late_start s;
         cw_ms sent;
 
         late_begin(&r);
+        late_run_to(late.now + 10);
         sent = late.now;
         first = late_start_job(&r, 8, 1);
         late_run_to(sent + cases[i].restart);
@@ -73,9 +76,14 @@
             late_run_to(sent + cases[i].arrives);
             assert_true(late_carry_out(&r, &first));
         }
-        cw_worker_start_unanswered(&late.s, r.worker, sent);
+        if (!noticed) {
+            cw_worker_start_unanswered(&late.s, r.worker, sent);
+        }
         late_run_to(sent + cases[i].restart + 200);
         late_report(&r, 1);
+        if (noticed) {
+            cw_worker_start_unanswered(&late.s, r.worker, sent);
+        }
         s = first;
         s.until_ms = cw_worker_lease_until(&late.s, r.worker, true, late.now);
         late_repeat_start(&r, &s, LATE_ACCEPTED_LISTED);
