Log why a daemon has no newer configuration

New lines: config_behind (the scheduler has a newer version), operators_read_failed (bytes received, time) and operators_answer_dropped; config also gives the record's size and the time since its read began.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -148,8 +148,10 @@
     cw_ms operators_retry_at;
     uint64_t operators_read; /* number of the latest read */
     cw_ms operators_read_at;
-    cw_ms operators_wait_ms; /* for which the latest read may wait */
-    cw_ms operators_load_at; /* when the first page was asked for */
+    cw_ms operators_wait_ms;   /* for which the latest read may wait */
+    cw_ms operators_load_at;   /* when the first page was asked for */
+    uint32_t operators_failed; /* reads that failed since the last answer */
+    uint64_t newest_logged; /* version that the scheduler has and we do not */
     /* The configuration had all versions up to then; 0: not known. */
     cw_ms config_proof_at;
     cw_ms stale_since; /* first refusal for want of a newer proof; 0: none */
@@ -404,6 +406,8 @@
 void cw_watch_operators(struct cw_jobd *d, cw_ms now);
 /* Reads again at once: a record is missing although a read waits for it. */
 void cw_watch_operators_again(struct cw_jobd *d);
+/* The scheduler has a newer configuration, of the version newest. */
+void cw_watch_config_behind(struct cw_jobd *d, uint64_t newest);
 void cw_watch_workers(struct cw_jobd *d, cw_ms now);
 
 /* ---- agents.c ---- */
--- a/packages/jobd/forward.c
+++ b/packages/jobd/forward.c
@@ -185,7 +185,7 @@
     d->scheduler_seen_at = now;
     add_scheduler_proof(d, m, now);
     if (m->config_version > d->config.version) {
-        cw_watch_operators_again(d);
+        cw_watch_config_behind(d, m->config_version);
     }
 }
 
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -65,9 +65,11 @@
     }
     cw_log(
         CW_INFO, "config",
-        "version=%llu was=%llu routes=%zu services=%zu tenants=%zu keys=%zu",
+        "version=%llu was=%llu routes=%zu services=%zu tenants=%zu keys=%zu "
+        "bytes=%zu read_ms=%lld",
         (unsigned long long)c.version, (unsigned long long)d->config.version,
-        c.route_count, c.service_count, c.tenant_count, c.key_count);
+        c.route_count, c.service_count, c.tenant_count, c.key_count, value.len,
+        (long long)(cw_jobd_now(d) - d->operators_read_at));
     cw_fleet_config_finish(&d->config);
     d->config = c;
     if (d->sched != NULL) {
@@ -123,8 +125,25 @@
 struct operators_ctx {
     struct cw_jobd *d;
     uint64_t read;
+    cw_ms at;
 };
 
+/* An outage of the store gives one line; a read that fails with a part of the
+ * answer gives one each time, as it will not end by itself. */
+static void
+log_read_failed(struct cw_jobd *d, enum cw_status s, size_t bytes)
+{
+    if (d->operators_failed++ > 0 && bytes == 0) {
+        return;
+    }
+    cw_log(CW_WARN, "operators_read_failed",
+           "status=%s bytes=%zu ms=%lld wait_ms=%lld version=%llu",
+           cw_status_name(s), bytes,
+           (long long)(cw_jobd_now(d) - d->operators_read_at),
+           (long long)d->operators_wait_ms,
+           (unsigned long long)d->config.version);
+}
+
 static void
 on_operator_records(void *arg, enum cw_status s, const struct cw_store_page *p)
 {
@@ -132,8 +151,18 @@
     struct cw_jobd *d = c.d;
 
     free(arg);
-    if (d->finished || c.read != d->operators_read) {
-        return; /* a later read has replaced it */
+    if (d->finished) {
+        return;
+    }
+    if (c.read != d->operators_read) {
+        /* A later read has replaced it. */
+        if (s == CW_OK && p->count > 0) {
+            cw_log(CW_INFO, "operators_answer_dropped",
+                   "bytes=%zu ms=%lld version=%llu", p->bytes,
+                   (long long)(cw_jobd_now(d) - c.at),
+                   (unsigned long long)d->config.version);
+        }
+        return;
     }
     d->operators_reading = false;
     if (s == CW_ERR_NOT_FOUND) {
@@ -143,9 +172,11 @@
         return;
     }
     if (s != CW_OK) {
+        log_read_failed(d, s, p == NULL ? 0 : p->bytes);
         d->operators_retry_at = cw_jobd_now(d) + OPERATORS_RETRY_MS;
         return;
     }
+    d->operators_failed = 0;
     for (size_t i = 0; i < p->count; i++) {
         apply_operator_record(d, &p->records[i]);
     }
@@ -177,6 +208,21 @@
     }
 }
 
+void
+cw_watch_config_behind(struct cw_jobd *d, uint64_t newest)
+{
+    if (newest != d->newest_logged) {
+        d->newest_logged = newest;
+        cw_log(CW_INFO, "config_behind",
+               "version=%llu newest=%llu reading=%d read_ms=%lld scheduler=%s",
+               (unsigned long long)d->config.version,
+               (unsigned long long)newest, d->operators_reading,
+               (long long)(cw_jobd_now(d) - d->operators_read_at),
+               d->scheduler.text);
+    }
+    cw_watch_operators_again(d);
+}
+
 /* Time for which the next read may wait for a record. */
 static cw_ms
 operators_wait(const struct cw_jobd *d, cw_ms now)
@@ -221,7 +267,7 @@
     }
     c = malloc(sizeof(*c));
     CW_INVARIANT(c != NULL);
-    *c = (struct operators_ctx){d, ++d->operators_read};
+    *c = (struct operators_ctx){d, ++d->operators_read, now};
     d->operators_reading = true;
     d->operators_read_at = now;
     d->operators_wait_ms = operators_wait(d, now);
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -48,7 +48,8 @@
     size_t count;
     /* read: offset to continue from; read_latest: end of the stream */
     uint64_t next;
-    bool more; /* further pages follow */
+    bool more;    /* further pages follow */
+    size_t bytes; /* of the answer, as far as it was received */
 };
 
 typedef void (*cw_store_done)(void *arg, enum cw_status s);
