Reads of the store: the time limit is for a stall, not for the size

Callers saw a configuration that was acknowledged and never came into force on daemons with a slow link (CONFIG). A read had to end 700 ms after its wait, a page of the newest records 900 ms after it was sent, whatever their size.

cw_http_fetch gives the first byte of an answer the time that calls had, and then goes on while bytes arrive, at most 700 ms apart and 30 s in all. A connection that goes dead is noticed as early as before. The port tells how much has arrived, for the next change.

--- a/packages/cli/cli_check.c
+++ b/packages/cli/cli_check.c
@@ -55,7 +55,7 @@
 {
     r->ports.store.read_latest(r->ports.ctx, CW_STREAM_OPERATORS,
                                (struct cw_str){r->after.text, r->after.len},
-                               READ_TIMEOUT_MS, on_page, r);
+                               READ_TIMEOUT_MS, NULL, on_page, r);
 }
 
 /* Reads the configuration in force from the store; c->msg says why not. */
--- a/packages/jobd/member.c
+++ b/packages/jobd/member.c
@@ -242,7 +242,7 @@
     struct cw_str after = {d->load_after_key.text, d->load_after_key.len};
 
     d->ports.store.read_latest(d->ports.ctx, CW_STREAM_JOBS, after,
-                               STORE_TIMEOUT_MS, on_jobs_page,
+                               STORE_TIMEOUT_MS, NULL, on_jobs_page,
                                cw_term_ctx_new(d));
 }
 
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -274,14 +274,15 @@
     if (d->operators_loaded) {
         d->ports.store.read(d->ports.ctx, CW_STREAM_OPERATORS,
                             d->operators_next_offset, d->operators_wait_ms,
-                            on_operator_records, c);
+                            NULL, on_operator_records, c);
     }
     else {
         struct cw_str after = {d->operators_after_key.text,
                                d->operators_after_key.len};
 
         d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS, after,
-                                   STORE_TIMEOUT_MS, on_operator_records, c);
+                                   STORE_TIMEOUT_MS, NULL, on_operator_records,
+                                   c);
     }
 }
 
@@ -418,14 +419,14 @@
     d->workers_reading = true;
     if (d->workers_loaded) {
         d->ports.store.read(d->ports.ctx, CW_STREAM_WORKERS,
-                            d->workers_next_offset, 0, on_worker_records,
+                            d->workers_next_offset, 0, NULL, on_worker_records,
                             cw_term_ctx_new(d));
     }
     else {
         struct cw_str after = {d->load_after_key.text, d->load_after_key.len};
 
         d->ports.store.read_latest(d->ports.ctx, CW_STREAM_WORKERS, after,
-                                   STORE_TIMEOUT_MS, on_worker_records,
+                                   STORE_TIMEOUT_MS, NULL, on_worker_records,
                                    cw_term_ctx_new(d));
     }
 }
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -27,6 +27,11 @@
     bool sent;     /* at least a part of the request */
     bool overdue;  /* its deadline has passed */
     cw_ms expires; /* nothing is sent from then on; counts suspensions */
+    /* Of cw_http_fetch, in times of the loop. */
+    uint64_t stall_ms; /* 0: the deadline is that of the whole answer */
+    uint64_t began_at;
+    uint64_t last_byte_at;
+    size_t *received; /* NULL: not asked for */
     enum cw_status result;
     void (*done)(void *arg, enum cw_status s, const struct cw_http_answer *a);
     void *arg;
@@ -240,6 +245,10 @@
     struct cw_buf *body = &c->call->body;
 
     cw_buf_add(body, at, len);
+    c->call->last_byte_at = uv_now(c->client->loop);
+    if (c->call->received != NULL) {
+        *c->call->received = body->len;
+    }
     return body->failed || body->len > ANSWER_MAX_BYTES;
 }
 
@@ -455,13 +464,34 @@
     return e;
 }
 
+/* Time of the loop until which the call may go on after its first deadline; 0:
+ * it may not. */
+static uint64_t
+extended_deadline(const struct cw_http_call *call)
+{
+    uint64_t stalled = call->last_byte_at + call->stall_ms;
+    uint64_t longest = call->began_at + CW_HTTP_FETCH_MAX_MS;
+
+    if (call->stall_ms == 0 || call->body.len == 0) {
+        return 0;
+    }
+    return stalled < longest ? stalled : longest;
+}
+
 /* libuv runs timers before it reads from sockets. After a pause of the process
  * or a long pass of the loop, answers that arrived in time are read first. */
 static void
 on_deadline(uv_timer_t *t)
 {
     struct cw_http_call *call = t->data;
+    uint64_t now = uv_now(call->client->loop);
+    uint64_t later = extended_deadline(call);
 
+    if (later > now) {
+        call->overdue = false;
+        uv_timer_start(t, on_deadline, later - now, 0);
+        return;
+    }
     if (!call->overdue) {
         call->overdue = true;
         uv_timer_start(t, on_deadline, OVERDUE_MS, 0);
@@ -495,17 +525,15 @@
     }
 }
 
-void
-cw_http_call(struct cw_http_client *c, const struct cw_http_request *r,
-             void (*done)(void *arg, enum cw_status s,
-                          const struct cw_http_answer *a),
-             void *arg)
+static void
+start_call(struct cw_http_call *call, struct cw_http_client *c,
+           const struct cw_http_request *r,
+           void (*done)(void *arg, enum cw_status s,
+                        const struct cw_http_answer *a),
+           void *arg)
 {
-    struct cw_http_call *call = calloc(1, sizeof(*call));
     int e;
 
-    /* Without memory for the call its result could not be delivered. */
-    CW_INVARIANT(call != NULL);
     call->client = c;
     call->done = done;
     call->arg = arg;
@@ -523,6 +551,7 @@
     }
     call->expires = clock_now() + r->timeout_ms;
     uv_update_time(c->loop);
+    call->began_at = uv_now(c->loop);
     uv_timer_start(&call->timer, on_deadline, (uint64_t)r->timeout_ms, 0);
     e = begin_exchange(call);
     if (e != 0) {
@@ -531,6 +560,39 @@
     }
 }
 
+static struct cw_http_call *
+new_call(void)
+{
+    struct cw_http_call *call = calloc(1, sizeof(*call));
+
+    /* Without memory for the call its result could not be delivered. */
+    CW_INVARIANT(call != NULL);
+    return call;
+}
+
+void
+cw_http_call(struct cw_http_client *c, const struct cw_http_request *r,
+             void (*done)(void *arg, enum cw_status s,
+                          const struct cw_http_answer *a),
+             void *arg)
+{
+    start_call(new_call(), c, r, done, arg);
+}
+
+void
+cw_http_fetch(struct cw_http_client *c, const struct cw_http_request *r,
+              cw_ms stall_ms, size_t *received,
+              void (*done)(void *arg, enum cw_status s,
+                           const struct cw_http_answer *a),
+              void *arg)
+{
+    struct cw_http_call *call = new_call();
+
+    call->stall_ms = (uint64_t)stall_ms;
+    call->received = received;
+    start_call(call, c, r, done, arg);
+}
+
 bool
 cw_http_client_reuses(const struct cw_http_client *c, cw_ms since)
 {
--- a/packages/ports/cw_http_call.h
+++ b/packages/ports/cw_http_call.h
@@ -69,6 +69,21 @@
                                const struct cw_http_answer *a),
                   void *arg);
 
+/* Longest time for an answer to cw_http_fetch, its first byte included: 16
+ * MiB, the largest answer, take it at 4.5 Mbit/s. */
+#define CW_HTTP_FETCH_MAX_MS (30 * CW_SECOND)
+
+/* Starts a call whose answer may be large. The request's timeout is that of
+ * the first byte of the answer's body; from then on the call goes on while
+ * bytes arrive, at most stall_ms apart. A limit for the whole answer would end
+ * it each time at the same place on a link that is too slow. received, if not
+ * NULL, gets the number of these bytes until done is called. */
+void cw_http_fetch(struct cw_http_client *c, const struct cw_http_request *r,
+                   cw_ms stall_ms, size_t *received,
+                   void (*done)(void *arg, enum cw_status s,
+                                const struct cw_http_answer *a),
+                   void *arg);
+
 /* True when the next call goes out on a connection that was open before a
  * time, of cw_clock_system. A connection ends with the process that accepted
  * it: the call reaches the process that listened at that time, or none. */
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -77,12 +77,18 @@
     void (*publish)(void *ctx, const struct cw_store_batch *b, cw_ms timeout,
                     cw_store_done done, void *arg);
     /* Reads the latest record of each key, in pages; after is the last key of
-     * the previous page, empty for the first page. */
+     * the previous page, empty for the first page. An answer that has not
+     * begun by timeout, or stops arriving, ends the read; its size does not.
+     * received, if not NULL, gets the bytes that have arrived until done is
+     * called. */
     void (*read_latest)(void *ctx, enum cw_stream stream, struct cw_str after,
-                        cw_ms timeout, cw_store_page_done done, void *arg);
-    /* Reads records from an offset; waits up to wait_ms for the first. */
+                        cw_ms timeout, size_t *received,
+                        cw_store_page_done done, void *arg);
+    /* Reads records from an offset; waits up to wait_ms for the first.
+     * received as above. */
     void (*read)(void *ctx, enum cw_stream stream, uint64_t from,
-                 cw_ms wait_ms, cw_store_page_done done, void *arg);
+                 cw_ms wait_ms, size_t *received, cw_store_page_done done,
+                 void *arg);
     /* Joins the group of daemons or renews the membership. One member at a
      * time is the scheduler. */
     void (*join)(void *ctx, struct cw_str member, uint64_t generation,
--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -62,8 +62,10 @@
 
 static void
 read_latest(void *ctx, enum cw_stream stream, struct cw_str after,
-            cw_ms timeout, cw_store_page_done done, void *arg)
+            cw_ms timeout, size_t *received, cw_store_page_done done,
+            void *arg)
 {
+    (void)received;
     (void)after;
     (void)timeout;
     *page_call(ctx, stream) =
@@ -72,8 +74,9 @@
 
 static void
 read_from(void *ctx, enum cw_stream stream, uint64_t from, cw_ms wait_ms,
-          cw_store_page_done done, void *arg)
+          size_t *received, cw_store_page_done done, void *arg)
 {
+    (void)received;
     (void)from;
     (void)wait_ms;
     *page_call(ctx, stream) =
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -399,10 +399,12 @@
 
 static void
 read_latest(void *ctx, enum cw_stream stream, struct cw_str after,
-            cw_ms timeout, cw_store_page_done done, void *arg)
+            cw_ms timeout, size_t *received, cw_store_page_done done,
+            void *arg)
 {
     struct answer *a = store_answer(ctx, PAGE, arg);
 
+    (void)received;
     (void)timeout;
     (void)snprintf(a->name, sizeof(a->name), "%.*s", CW_FMT(after));
     a->u.page = done;
@@ -412,10 +414,11 @@
 
 static void
 read_from(void *ctx, enum cw_stream stream, uint64_t from, cw_ms wait_ms,
-          cw_store_page_done done, void *arg)
+          size_t *received, cw_store_page_done done, void *arg)
 {
     struct answer *a = store_answer(ctx, PAGE, arg);
 
+    (void)received;
     (void)wait_ms;
     a->u.page = done;
     a->stream = stream;
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -773,8 +773,9 @@
 
 static void
 read_unanswered(void *ctx, enum cw_stream stream, uint64_t from, cw_ms wait_ms,
-                cw_store_page_done done, void *arg)
+                size_t *received, cw_store_page_done done, void *arg)
 {
+    (void)received;
     (void)ctx;
     (void)stream;
     (void)from;
--- a/tests/test_odd_answers.c
+++ b/tests/test_odd_answers.c
@@ -172,7 +172,7 @@
 
     next_body = body;
     ports.store.read_latest(ports.ctx, CW_STREAM_WORKERS, after, TIMEOUT_MS,
-                            on_page, &c);
+                            NULL, on_page, &c);
     run_until(&c.got);
     return c;
 }
@@ -306,7 +306,8 @@
         struct page_copy c = {0};
 
         next_body = bodies[i];
-        ports.store.read(ports.ctx, CW_STREAM_WORKERS, 5, 0, on_page, &c);
+        ports.store.read(ports.ctx, CW_STREAM_WORKERS, 5, 0, NULL, on_page,
+                         &c);
         run_until(&c.got);
         assert_int_equal(c.status, CW_OK);
         assert_int_equal(c.count, 2);
--- a/tests/test_worker_list.c
+++ b/tests/test_worker_list.c
@@ -42,8 +42,10 @@
 
 static void
 read_latest(void *ctx, enum cw_stream stream, struct cw_str after,
-            cw_ms timeout, cw_store_page_done done, void *arg)
+            cw_ms timeout, size_t *received, cw_store_page_done done,
+            void *arg)
 {
+    (void)received;
     (void)ctx;
     (void)stream;
     (void)timeout;
@@ -59,8 +61,9 @@
 
 static void
 read_from(void *ctx, enum cw_stream stream, uint64_t from, cw_ms wait_ms,
-          cw_store_page_done done, void *arg)
+          size_t *received, cw_store_page_done done, void *arg)
 {
+    (void)received;
     (void)ctx;
     (void)stream;
     (void)wait_ms;
@@ -109,7 +112,8 @@
 static void
 answer(const struct cw_store_record *rows, size_t count, bool more)
 {
-    struct cw_store_page p = {rows, count, 7, more};
+    struct cw_store_page p = {
+        .records = rows, .count = count, .next = 7, .more = more};
 
     assert_non_null(read_call.done);
     read_call.done(read_call.arg, CW_OK, &p);
