Operators' records: a replaced read is cancelled

A read that had received nothing was replaced and left open. The connection of a replaced read is closed now, and the log line of dropped answers goes.

test_cancelled_fetch, and test_config_watch, which now also counts the reads that are cancelled.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -142,13 +142,12 @@
     struct cw_wave_order *waves;
     size_t wave_count;
     bool operators_loaded; /* all records; then changes are read */
-    bool operators_reading;
     uint64_t operators_next_offset;
     struct cw_store_key operators_after_key; /* last key of the pages loaded */
     cw_ms operators_retry_at;
     uint64_t operators_read; /* number of the latest read */
     cw_ms operators_read_at;
-    /* Bytes that the open read has received; NULL: none is open. */
+    /* Bytes that the open read has received; NULL: no read is open. */
     const size_t *operators_received;
     cw_ms operators_wait_ms;   /* for which the latest read may wait */
     cw_ms operators_load_at;   /* when the first page was asked for */
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -125,7 +125,6 @@
 struct operators_ctx {
     struct cw_jobd *d;
     uint64_t read;
-    cw_ms at;
     size_t received;
 };
 
@@ -159,16 +158,8 @@
         return;
     }
     if (c.read != d->operators_read) {
-        /* A later read has replaced it. */
-        if (s == CW_OK && p->count > 0) {
-            cw_log(CW_INFO, "operators_answer_dropped",
-                   "bytes=%zu ms=%lld version=%llu", p->bytes,
-                   (long long)(cw_jobd_now(d) - c.at),
-                   (unsigned long long)d->config.version);
-        }
-        return;
+        return; /* cancelled */
     }
-    d->operators_reading = false;
     if (s == CW_ERR_NOT_FOUND) {
         /* The offset is no longer kept: load each key's newest record. */
         d->operators_loaded = false;
@@ -203,18 +194,25 @@
     cw_proof_add(d, d->operators_load_at);
 }
 
+static void
+cancel_operators_read(struct cw_jobd *d)
+{
+    const size_t *received = d->operators_received;
+
+    d->operators_received = NULL;
+    d->operators_read++; /* its answer is not used */
+    d->ports.store.read_cancel(d->ports.ctx, received);
+}
+
 void
 cw_watch_operators_again(struct cw_jobd *d)
 {
     /* An answer that arrives has what is missing, or the next one has. Begun
      * anew, a large one would never be complete. */
-    bool receiving =
-        d->operators_received != NULL && *d->operators_received > 0;
-
-    if (d->operators_loaded && !receiving &&
+    if (d->operators_loaded && d->operators_received != NULL &&
+        *d->operators_received == 0 &&
         cw_jobd_now(d) - d->operators_read_at > OPERATORS_RETRY_MS) {
-        d->operators_reading = false;
-        d->operators_received = NULL;
+        cancel_operators_read(d);
     }
 }
 
@@ -226,7 +224,7 @@
         cw_log(CW_INFO, "config_behind",
                "version=%llu newest=%llu reading=%d read_ms=%lld scheduler=%s",
                (unsigned long long)d->config.version,
-               (unsigned long long)newest, d->operators_reading,
+               (unsigned long long)newest, d->operators_received != NULL,
                (long long)(cw_jobd_now(d) - d->operators_read_at),
                d->scheduler.text);
     }
@@ -272,14 +270,13 @@
     if (operators_read_useless(d, now)) {
         cw_watch_operators_again(d);
     }
-    if (d->operators_reading || now < d->operators_retry_at) {
+    if (d->operators_received != NULL || now < d->operators_retry_at) {
         return;
     }
     c = malloc(sizeof(*c));
     CW_INVARIANT(c != NULL);
-    *c = (struct operators_ctx){d, ++d->operators_read, now, 0};
+    *c = (struct operators_ctx){d, ++d->operators_read, 0};
     d->operators_received = &c->received;
-    d->operators_reading = true;
     d->operators_read_at = now;
     d->operators_wait_ms = operators_wait(d, now);
     if (d->operators_loaded) {
--- a/packages/ports/cw_http_call.c
+++ b/packages/ports/cw_http_call.c
@@ -593,6 +593,21 @@
     start_call(call, c, r, done, arg);
 }
 
+void
+cw_http_cancel(struct cw_http_client *c, const size_t *received)
+{
+    struct cw_http_call *call = c->calls;
+
+    while (call != NULL && (call->received != received || !call->conn)) {
+        call = call->next;
+    }
+    if (call != NULL) {
+        close_conn(call->conn);
+        set_result(call, CW_ERR_UNKNOWN, "cancelled");
+        deliver_result(call);
+    }
+}
+
 bool
 cw_http_client_reuses(const struct cw_http_client *c, cw_ms since)
 {
--- a/packages/ports/cw_http_call.h
+++ b/packages/ports/cw_http_call.h
@@ -84,6 +84,11 @@
                                 const struct cw_http_answer *a),
                    void *arg);
 
+/* Ends the fetch that counts into received: its connection closes, and done is
+ * called with CW_ERR_UNKNOWN before this returns. Nothing when there is none.
+ */
+void cw_http_cancel(struct cw_http_client *c, const size_t *received);
+
 /* True when the next call goes out on a connection that was open before a
  * time, of cw_clock_system. A connection ends with the process that accepted
  * it: the call reaches the process that listened at that time, or none. */
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -89,6 +89,10 @@
     void (*read)(void *ctx, enum cw_stream stream, uint64_t from,
                  cw_ms wait_ms, size_t *received, cw_store_page_done done,
                  void *arg);
+    /* Ends the read that counts into received; its done is called with
+     * CW_ERR_UNKNOWN before this returns. A read that nobody waits for any
+     * more would share the link with the one that replaces it. */
+    void (*read_cancel)(void *ctx, const size_t *received);
     /* Joins the group of daemons or renews the membership. One member at a
      * time is the scheduler. */
     void (*join)(void *ctx, struct cw_str member, uint64_t generation,
--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -379,9 +379,14 @@
     (void)cw_name_set(&d->settings.peer_listen, CW_LIT("127.0.0.1:1"));
     pf_record_port(&d->ports);
     d->ports.ctx = r;
-    d->ports.store =
-        (struct cw_store_port){batch_add, append, publish, read_latest,
-                               read_from, join,   leave,   get_owner};
+    d->ports.store = (struct cw_store_port){.batch_add = batch_add,
+                                            .append = append,
+                                            .publish = publish,
+                                            .read_latest = read_latest,
+                                            .read = read_from,
+                                            .join = join,
+                                            .leave = leave,
+                                            .get_owner = get_owner};
     d->ports.exec = (struct cw_exec_port){.open = conn_open,
                                           .close = conn_close,
                                           .start = start,
--- a/tests/jobs_fake.c
+++ b/tests/jobs_fake.c
@@ -425,6 +425,14 @@
     a->number = from;
 }
 
+/* The answer still comes, and is not used. */
+static void
+cancel_read(void *ctx, const size_t *received)
+{
+    (void)ctx;
+    (void)received;
+}
+
 static void
 expire_members(struct fake_platform *f)
 {
@@ -616,9 +624,15 @@
 fake_ports(struct fake_platform *f, struct cw_job_ports *ports)
 {
     ports->ctx = f;
-    ports->store =
-        (struct cw_store_port){batch_add, append, publish, read_latest,
-                               read_from, join,   leave,   get_owner};
+    ports->store = (struct cw_store_port){.batch_add = batch_add,
+                                          .append = append,
+                                          .publish = publish,
+                                          .read_latest = read_latest,
+                                          .read = read_from,
+                                          .read_cancel = cancel_read,
+                                          .join = join,
+                                          .leave = leave,
+                                          .get_owner = get_owner};
     ports->exec = (struct cw_exec_port){.open = conn_open,
                                         .close = conn_close,
                                         .start = start,
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -27,6 +27,7 @@
 } reads[READS_MAX];
 static size_t read_count;
 static size_t answered; /* reads before this one */
+static size_t cancelled;
 
 static void
 add_read(bool latest, uint64_t from, cw_ms wait_ms, size_t *received,
@@ -62,6 +63,20 @@
     add_read(false, from, wait_ms, received, done, arg);
 }
 
+/* Only the oldest read without an answer can be replaced. */
+static void
+cancel_read(void *ctx, const size_t *received)
+{
+    struct cw_store_page none = {0};
+
+    (void)ctx;
+    assert_true(answered < read_count);
+    assert_ptr_equal(reads[answered].received, received);
+    cancelled++;
+    answered++;
+    reads[answered - 1].done(reads[answered - 1].arg, CW_ERR_UNKNOWN, &none);
+}
+
 static int
 setup(void **state)
 {
@@ -69,10 +84,12 @@
     rig_init(&r);
     r.d.ports.store.read_latest = read_latest;
     r.d.ports.store.read = read_from;
+    r.d.ports.store.read_cancel = cancel_read;
     r.d.operators_loaded = true;
     r.d.operators_next_offset = 5;
     read_count = 0;
     answered = 0;
+    cancelled = 0;
     return 0;
 }
 
@@ -124,22 +141,21 @@
     (void)state;
     static const struct {
         size_t received;
-        size_t reads;
-        uint64_t version; /* after the answer to the first read */
-    } cases[] = {{0, 2, 1}, {1, 1, 2}, {400000, 1, 2}};
+        size_t replaced; /* by three probe answers */
+    } cases[] = {{0, 3}, {1, 0}, {400000, 0}};
 
     for (size_t i = 0; i < COUNT(cases); i++) {
         tick(0);
-        assert_int_equal(read_count, 1);
         *reads[0].received = cases[i].received;
         for (int k = 0; k < 3; k++) {
             rig_advance(&r, 1000);
             cw_watch_config_behind(&r.d, 2);
+            tick(0);
         }
-        tick(0);
-        assert_int_equal(read_count, cases[i].reads);
+        assert_int_equal(read_count, 1 + cases[i].replaced);
+        assert_int_equal(cancelled, cases[i].replaced);
         answer(2, false);
-        assert_int_equal(r.d.config.version, cases[i].version);
+        assert_int_equal(r.d.config.version, 2);
         (void)teardown(NULL);
         (void)setup(NULL);
     }
@@ -163,6 +179,7 @@
         tick(3000);
         assert_true(cw_proof_renew_due(&r.d, cw_jobd_now(&r.d)));
         assert_int_equal(read_count, received > 0 ? 1 : 2);
+        assert_int_equal(cancelled, received > 0 ? 0 : 1);
         (void)teardown(NULL);
         (void)setup(NULL);
     }
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -24,6 +24,7 @@
     char address[32];
     const char *answer;
     size_t connections;
+    size_t closed; /* by the client */
     size_t bytes_received;
     bool close_after; /* each answer */
     size_t pieces;    /* in which an answer is sent; 0: at once */
@@ -101,6 +102,7 @@
         uv_buf_init((char *)server.answer, (unsigned)strlen(server.answer));
 
     if (n <= 0) {
+        server.closed++;
         close_peer(p);
         return;
     }
@@ -373,6 +375,43 @@
     }
 }
 
+/* Guards against an answer that nobody waits for any more and that takes a
+ * part of the link: a fetch that is cancelled closes its connection. */
+static void
+test_cancelled_fetch(void **state)
+{
+    (void)state;
+    struct cw_http_request r = {"GET", "/x", CW_LIT(""), 5000, NULL};
+    struct outcome o[2] = {{0}, {0}};
+    struct cw_http_client c;
+    size_t received[2] = {0};
+    size_t of_none = 0;
+
+    server.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    server.pieces = 3;
+    server.silent_at = 1;
+    assert_int_equal(cw_http_client_init(&c, &loop, server.address), CW_OK);
+    for (int i = 0; i < 2; i++) {
+        cw_http_fetch(&c, &r, 5000, &received[i], on_done, &o[i]);
+    }
+    while (server.bytes_received == 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    cw_http_cancel(&c, &of_none);
+    assert_int_equal(o[0].done + o[1].done, 0);
+    cw_http_cancel(&c, &received[0]);
+    assert_int_equal(o[0].done, 1);
+    assert_int_equal(o[0].status, CW_ERR_UNKNOWN);
+    assert_int_equal(o[1].done, 0);
+    while (server.closed == 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    cw_http_cancel(&c, &received[0]);
+    assert_int_equal(o[0].done, 1);
+    cw_http_client_finish(&c);
+    (void)uv_run(&loop, UV_RUN_NOWAIT);
+}
+
 #define PAUSE_MS 300
 
 static void
@@ -778,6 +817,7 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_large_answer_on_a_slow_link,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(test_cancelled_fetch, setup, teardown),
         cmocka_unit_test_setup_teardown(test_nothing_is_sent_after_a_pause,
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_unwell_worker_is_not_gone, setup,
--- a/tests/test_jobd.c
+++ b/tests/test_jobd.c
@@ -823,7 +823,7 @@
         /* The fake store has records only for reads of the newest ones. */
         daemons[i].operators_loaded = false;
         daemons[i].operators_after_key.len = 0;
-        daemons[i].operators_reading = false;
+        daemons[i].operators_received = NULL;
         daemons[i].operators_read++;
     }
     assert_true(run_until(all_have_tenants, NULL));
