--- a/packages/ports/cw_log_client.c
+++ b/packages/ports/cw_log_client.c
@@ -148,11 +148,11 @@
     char path[CW_NAME_MAX + 96];
     snprintf(path, sizeof(path), "/log/%s?from=%llu&max=%u&wait_ms=%lld",
              stream, (unsigned long long)from, max, (long long)wait_ms);
-    cw_http_call(
+    cw_http_fetch(
         &c->http,
         &(struct cw_http_request){
             "GET", path, {NULL, 0}, wait_ms + CW_PLATFORM_TIMEOUT_MS, NULL},
-        on_read_answer, call);
+        CW_PLATFORM_TIMEOUT_MS, NULL, on_read_answer, call);
 }
 
 void
--- a/packages/ports/cw_vmlist_client.c
+++ b/packages/ports/cw_vmlist_client.c
@@ -85,10 +85,10 @@
     *call = (struct list_call){done, arg};
     char path[64];
     snprintf(path, sizeof(path), "/vms?since=%llu", (unsigned long long)since);
-    cw_http_call(&c->http,
-                 &(struct cw_http_request){
-                     "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS, NULL},
-                 on_list_answer, call);
+    cw_http_fetch(&c->http,
+                  &(struct cw_http_request){
+                      "GET", path, {NULL, 0}, CW_PLATFORM_TIMEOUT_MS, NULL},
+                  CW_PLATFORM_TIMEOUT_MS, NULL, on_list_answer, call);
 }
 
 void
