Operators' records: skip versions that were missed

The log keeps each version in full, some 0.8 MB with 4,251 routes. A daemon that comes back from a cut read each version that it had missed, about a second each on 10 Mbit/s, though only the newest is of use: at the design's rate of changes, ten missed versions are over the 8 s in which a change has to be in force.

When one answer does not hold all records that follow, the newest record of each key is loaded instead, as at the start of a daemon.

test_missed_versions_are_skipped fails without it (the next read continues the log).

--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -144,6 +144,14 @@
            (unsigned long long)d->config.version);
 }
 
+/* Each key's newest record is read next. */
+static void
+load_operators(struct cw_jobd *d)
+{
+    d->operators_loaded = false;
+    d->operators_after_key.len = 0;
+}
+
 static void
 on_operator_records(void *arg, enum cw_status s, const struct cw_store_page *p)
 {
@@ -161,9 +169,7 @@
         return; /* cancelled */
     }
     if (s == CW_ERR_NOT_FOUND) {
-        /* The offset is no longer kept: load each key's newest record. */
-        d->operators_loaded = false;
-        d->operators_after_key.len = 0;
+        load_operators(d); /* the offset is no longer kept */
         return;
     }
     if (s != CW_OK) {
@@ -175,11 +181,14 @@
     for (size_t i = 0; i < p->count; i++) {
         apply_operator_record(d, &p->records[i]);
     }
+    if (d->operators_loaded && p->more) {
+        /* Many versions may follow, each as large as the newest one. */
+        load_operators(d);
+        return;
+    }
     if (d->operators_loaded) {
         d->operators_next_offset = p->next;
-        if (!p->more) {
-            cw_proof_add(d, d->operators_read_at);
-        }
+        cw_proof_add(d, d->operators_read_at);
         return;
     }
     if (d->operators_after_key.len == 0) {
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -185,6 +185,35 @@
     }
 }
 
+/* Guards against a daemon that was cut off and replays each version that it
+ * has missed, on a link that takes a second for one: what does not fit one
+ * answer is loaded as the newest record of each key, and then followed. */
+static void
+test_missed_versions_are_skipped(void **state)
+{
+    (void)state;
+    static const struct {
+        bool more;
+        bool latest; /* the read after the answer */
+    } cases[] = {{false, false}, {true, true}};
+
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        tick(0);
+        answer(2, cases[i].more);
+        tick(0);
+        assert_int_equal(read_count, 2);
+        assert_int_equal(reads[1].latest, cases[i].latest);
+        answer(9, false);
+        assert_int_equal(r.d.config.version, 9);
+        tick(0);
+        assert_int_equal(read_count, 3);
+        assert_false(reads[2].latest);
+        assert_int_equal(reads[2].from, 6);
+        (void)teardown(NULL);
+        (void)setup(NULL);
+    }
+}
+
 int
 main(void)
 {
@@ -193,6 +222,8 @@
                                         teardown),
         cmocka_unit_test_setup_teardown(test_proof_due_while_receiving, setup,
                                         teardown),
+        cmocka_unit_test_setup_teardown(test_missed_versions_are_skipped,
+                                        setup, teardown),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
