Operators' records: reads without an answer get more time

Reads of all daemons share the store's read rate. On the large deployment a record of 4,231 routes is 111 MB for 147 daemons, so that some answers begin 1.5 s after the record was written.

The open read has 700 ms from the news on, and after each read that was replaced or failed the next one has twice the time, up to 2.8 s; so have the time limits of reads. An answer resets it. A dead connection is still noticed after 0.7 s.

test_unanswered_reads_get_more_time fails without the doubling (700 ms, not 1,400). The count in test_read_in_progress_is_kept follows: the first news no longer replaces a read; without the doubling it fails, too.

--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -15,10 +15,15 @@
  * 1 s more on a follower, which asks once a second: with waits of 1 s that is
  * over 3 s, the limit for the default of revoke_ms. */
 #define OPERATORS_WAIT_PROOF_MS 500
-/* A read without an answer for longer than its wait is given up. */
-#define OPERATORS_MARGIN_MS 700
+/* A read whose answer has not begun this long after its wait is given up, and
+ * the next one has twice the time: large records that many daemons read at
+ * once queue at the store, and a read that begins again is the last in the
+ * queue. */
+#define OPERATORS_TIMEOUT_MS 700
+#define OPERATORS_DOUBLINGS_MAX 2
 #define OPERATORS_RETRY_MS 150
 #define STORE_TIMEOUT_MS 900
+#define WORKERS_TIMEOUT_MS 700
 /* Time between reads of the list of workers. Each of some fifty workers writes
  * about every 1.5 s, so that a long poll would return at once. */
 #define WORKERS_POLL_MS 300
@@ -133,7 +138,7 @@
 static void
 log_read_failed(struct cw_jobd *d, enum cw_status s, size_t bytes)
 {
-    if (d->operators_failed++ > 0 && bytes == 0) {
+    if (d->operators_tries > 0 && bytes == 0) {
         return;
     }
     cw_log(CW_WARN, "operators_read_failed",
@@ -174,10 +179,12 @@
     }
     if (s != CW_OK) {
         log_read_failed(d, s, p == NULL ? 0 : p->bytes);
+        d->operators_tries++;
         d->operators_retry_at = cw_jobd_now(d) + OPERATORS_RETRY_MS;
         return;
     }
-    d->operators_failed = 0;
+    d->operators_tries = 0;
+    d->behind_since = 0;
     for (size_t i = 0; i < p->count; i++) {
         apply_operator_record(d, &p->records[i]);
     }
@@ -213,31 +220,58 @@
     d->ports.store.read_cancel(d->ports.ctx, received);
 }
 
+/* An answer that arrives has what is missing, or the next one has. Begun anew,
+ * a large one would never be complete. */
+static bool
+is_operators_read_idle(const struct cw_jobd *d)
+{
+    return d->operators_loaded && d->operators_received != NULL &&
+           *d->operators_received == 0;
+}
+
 void
 cw_watch_operators_again(struct cw_jobd *d)
 {
-    /* An answer that arrives has what is missing, or the next one has. Begun
-     * anew, a large one would never be complete. */
-    if (d->operators_loaded && d->operators_received != NULL &&
-        *d->operators_received == 0 &&
+    if (is_operators_read_idle(d) &&
         cw_jobd_now(d) - d->operators_read_at > OPERATORS_RETRY_MS) {
         cancel_operators_read(d);
     }
 }
 
+/* A time limit, longer after reads that were not answered. */
+static cw_ms
+backed_off(const struct cw_jobd *d, cw_ms limit)
+{
+    return limit << (d->operators_tries < OPERATORS_DOUBLINGS_MAX
+                         ? d->operators_tries
+                         : OPERATORS_DOUBLINGS_MAX);
+}
+
 void
 cw_watch_config_behind(struct cw_jobd *d, uint64_t newest)
 {
+    cw_ms now = cw_jobd_now(d);
+    cw_ms waited;
+
     if (newest != d->newest_logged) {
         d->newest_logged = newest;
         cw_log(CW_INFO, "config_behind",
                "version=%llu newest=%llu reading=%d read_ms=%lld scheduler=%s",
                (unsigned long long)d->config.version,
                (unsigned long long)newest, d->operators_received != NULL,
-               (long long)(cw_jobd_now(d) - d->operators_read_at),
-               d->scheduler.text);
+               (long long)(now - d->operators_read_at), d->scheduler.text);
+    }
+    if (d->behind_since == 0) {
+        d->behind_since = now;
+    }
+    waited =
+        now - (d->behind_since > d->operators_read_at ? d->behind_since
+                                                      : d->operators_read_at);
+    if (waited >= backed_off(d, OPERATORS_TIMEOUT_MS) &&
+        is_operators_read_idle(d)) {
+        cancel_operators_read(d);
+        d->operators_tries++;
     }
-    cw_watch_operators_again(d);
 }
 
 /* Time for which the next read may wait for a record. */
@@ -267,7 +301,7 @@
     }
     return (proof_due || !cw_forward_confirmed(d, now)) &&
            now - d->operators_read_at >
-               OPERATORS_WAIT_MS + OPERATORS_MARGIN_MS;
+               OPERATORS_WAIT_MS + backed_off(d, OPERATORS_TIMEOUT_MS);
 }
 
 void
@@ -289,17 +323,20 @@
     d->operators_read_at = now;
     d->operators_wait_ms = operators_wait(d, now);
     if (d->operators_loaded) {
-        d->ports.store.read(d->ports.ctx, CW_STREAM_OPERATORS,
-                            d->operators_next_offset, d->operators_wait_ms,
-                            &c->received, on_operator_records, c);
+        struct cw_store_read r = {
+            CW_STREAM_OPERATORS, d->operators_next_offset,
+            d->operators_wait_ms, backed_off(d, OPERATORS_TIMEOUT_MS),
+            &c->received};
+
+        d->ports.store.read(d->ports.ctx, &r, on_operator_records, c);
     }
     else {
         struct cw_str after = {d->operators_after_key.text,
                                d->operators_after_key.len};
 
         d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS, after,
-                                   STORE_TIMEOUT_MS, NULL, on_operator_records,
-                                   c);
+                                   backed_off(d, STORE_TIMEOUT_MS),
+                                   &c->received, on_operator_records, c);
     }
 }
 
@@ -435,8 +472,10 @@
     }
     d->workers_reading = true;
     if (d->workers_loaded) {
-        d->ports.store.read(d->ports.ctx, CW_STREAM_WORKERS,
-                            d->workers_next_offset, 0, NULL, on_worker_records,
+        struct cw_store_read r = {CW_STREAM_WORKERS, d->workers_next_offset, 0,
+                                  WORKERS_TIMEOUT_MS, NULL};
+
+        d->ports.store.read(d->ports.ctx, &r, on_worker_records,
                             cw_term_ctx_new(d));
     }
     else {
--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -63,6 +63,14 @@
                                     const struct cw_str *members,
                                     uint32_t member_count);
 
+struct cw_store_read {
+    enum cw_stream stream;
+    uint64_t from;
+    cw_ms wait_ms;    /* for a record */
+    cw_ms timeout_ms; /* after that, for the first byte of the answer */
+    size_t *received; /* as of read_latest */
+};
+
 struct cw_store_port {
     void (*batch_add)(void *ctx, struct cw_store_batch *b, struct cw_str key,
                       struct cw_str value);
@@ -84,11 +92,9 @@
     void (*read_latest)(void *ctx, enum cw_stream stream, struct cw_str after,
                         cw_ms timeout, size_t *received,
                         cw_store_page_done done, void *arg);
-    /* Reads records from an offset; waits up to wait_ms for the first.
-     * received as above. */
-    void (*read)(void *ctx, enum cw_stream stream, uint64_t from,
-                 cw_ms wait_ms, size_t *received, cw_store_page_done done,
-                 void *arg);
+    /* Reads records from an offset, and waits for the first. */
+    void (*read)(void *ctx, const struct cw_store_read *r,
+                 cw_store_page_done done, void *arg);
     /* Ends the read that counts into received; its done is called with
      * CW_ERR_UNKNOWN before this returns. A read that nobody waits for any
      * more would share the link with the one that replaces it. */
