--- a/packages/ports/cw_job_ports.h
+++ b/packages/ports/cw_job_ports.h
@@ -68,7 +68,7 @@
     uint64_t from;
     cw_ms wait_ms;    /* for a record */
     cw_ms timeout_ms; /* after that, for the first byte of the answer */
-    size_t *received; /* as of read_latest */
+    size_t *received; /* see read_latest */
 };
 
 struct cw_store_port {
