Soak: a slow link closes the sockets of ended connections

A run with resets opens some connections a second, and each kept two sockets and two threads until the end, up to the limit of descriptors.

--- a/standins/soak/slow_link.h
+++ b/standins/soak/slow_link.h
@@ -21,10 +21,17 @@
     pthread_mutex_t line; /* held while a chunk is on its way */
 };
 
+/* A connection of the daemon and its counterpart to the store. */
+struct slow_pair {
+    struct slow_link *link;
+    int daemon;
+    int store;
+    int open; /* directions; under the link's lock */
+};
+
 struct slow_pipe {
-    struct slow_link *link; /* NULL: towards the store, not limited */
-    int from;
-    int to;
+    struct slow_pair *pair;
+    bool to_daemon; /* at the link's rate */
 };
 
 static void
@@ -37,39 +44,57 @@
     pthread_mutex_unlock(&l->line);
 }
 
+static void
+slow_pair_release(struct slow_pair *c)
+{
+    bool last;
+
+    /* Ends the other direction, too. */
+    shutdown(c->daemon, SHUT_RDWR);
+    shutdown(c->store, SHUT_RDWR);
+    pthread_mutex_lock(&c->link->line);
+    last = --c->open == 0;
+    pthread_mutex_unlock(&c->link->line);
+    if (last) {
+        close(c->daemon);
+        close(c->store);
+        free(c);
+    }
+}
+
 static void *
 slow_pipe_run(void *arg)
 {
-    struct slow_pipe *p = arg;
+    struct slow_pipe p = *(struct slow_pipe *)arg;
+    int from = p.to_daemon ? p.pair->store : p.pair->daemon;
+    int to = p.to_daemon ? p.pair->daemon : p.pair->store;
     char bytes[SLOW_LINK_CHUNK];
     ssize_t n;
 
-    while ((n = recv(p->from, bytes, sizeof(bytes), 0)) > 0) {
-        if (p->link != NULL) {
-            slow_link_wait(p->link, (size_t)n);
+    free(arg);
+    while ((n = recv(from, bytes, sizeof(bytes), 0)) > 0) {
+        if (p.to_daemon) {
+            slow_link_wait(p.pair->link, (size_t)n);
         }
-        if (!write_all(p->to, bytes, (size_t)n)) {
+        if (!write_all(to, bytes, (size_t)n)) {
             break;
         }
     }
-    shutdown(p->from, SHUT_RDWR);
-    shutdown(p->to, SHUT_RDWR);
-    free(p);
+    slow_pair_release(p.pair);
     return NULL;
 }
 
 static void
-slow_pipe_start(struct slow_link *l, int from, int to)
+slow_pipe_start(struct slow_pair *c, bool to_daemon)
 {
     struct slow_pipe *p = malloc(sizeof(*p));
     pthread_t t;
 
-    *p = (struct slow_pipe){l, from, to};
+    *p = (struct slow_pipe){c, to_daemon};
     pthread_create(&t, NULL, slow_pipe_run, p);
     pthread_detach(t);
 }
 
-/* Sockets stay open until the case ends. */
 static void *
 slow_link_run(void *arg)
 {
@@ -78,15 +103,16 @@
     for (;;) {
         struct sockaddr_in a = {.sin_family = AF_INET,
                                 .sin_port = htons((uint16_t)l->store_port)};
-        int in = accept(l->listener, NULL, NULL);
-        int out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int in = accept4(l->listener, NULL, NULL, SOCK_CLOEXEC);
+        int out;
         int room = SLOW_LINK_CHUNK;
+        struct slow_pair *c;
 
-        if (in < 0 || out < 0) {
+        if (in < 0) {
             sleep_ms(5);
-            close(out);
             continue;
         }
+        out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         /* What is sent and not yet read here would not count as on its way. */
         setsockopt(out, SOL_SOCKET, SO_RCVBUF, &room, sizeof(room));
@@ -95,8 +121,10 @@
             close(out);
             continue;
         }
-        slow_pipe_start(l, out, in);
-        slow_pipe_start(NULL, in, out);
+        c = malloc(sizeof(*c));
+        *c = (struct slow_pair){l, in, out, 2};
+        slow_pipe_start(c, true);
+        slow_pipe_start(c, false);
     }
     return NULL;
 }
