Operators' records: the time limits stay in an outage

The limits double only while the scheduler, which is in contact, has a newer configuration, as only then the store is known to answer, and up to 1.8 s.

--- a/packages/jobd/cw_jobd.h
+++ b/packages/jobd/cw_jobd.h
@@ -149,11 +149,10 @@
     cw_ms operators_read_at;
     /* Bytes that the open read has received; NULL: no read is open. */
     const size_t *operators_received;
-    cw_ms operators_wait_ms; /* for which the latest read may wait */
-    cw_ms operators_load_at; /* when the first page was asked for */
-    /* Reads since the last answer that failed, or were replaced as a newer
-     * configuration was known. */
-    uint32_t operators_tries;
+    cw_ms operators_wait_ms;   /* for which the latest read may wait */
+    cw_ms operators_load_at;   /* when the first page was asked for */
+    uint32_t operators_failed; /* reads that failed since the last answer */
+    uint32_t operators_tries; /* without an answer while behind_since is set */
     cw_ms behind_since; /* told then of a newer configuration; 0: not behind */
     uint64_t newest_logged; /* version that the scheduler has and we do not */
     /* The configuration had all versions up to then; 0: not known. */
--- a/packages/jobd/watch.c
+++ b/packages/jobd/watch.c
@@ -15,18 +15,18 @@
  * 1 s more on a follower, which asks once a second: with waits of 1 s that is
  * over 3 s, the limit for the default of revoke_ms. */
 #define OPERATORS_WAIT_PROOF_MS 500
-/* A read whose answer has not begun this long after its wait is given up, and
- * the next one has twice the time: large records that many daemons read at
- * once queue at the store, and a read that begins again is the last in the
- * queue. */
+/* A read whose answer has not begun this long after its wait is given up. */
 #define OPERATORS_TIMEOUT_MS 700
-#define OPERATORS_TIMEOUT_MAX_MS 2800
-/* The same while a newer configuration is known, from the news on. */
+/* A read that should have a newer configuration, which the scheduler has, is
+ * given up this long after the news. */
 #define BEHIND_TIMEOUT_MS 300
-#define BEHIND_TIMEOUT_MAX_MS 2400
+/* These limits double with each read that was not answered although the
+ * scheduler has a newer configuration: large records that many daemons read at
+ * once queue at the store, and a read that begins again is the last in the
+ * queue. In an outage a longer limit would only delay the next read. */
+#define TIMEOUT_MAX_MS 1800
 #define OPERATORS_RETRY_MS 150
 #define STORE_TIMEOUT_MS 900
-#define LOAD_TIMEOUT_MAX_MS 3600
 #define WORKERS_TIMEOUT_MS 700
 /* Time between reads of the list of workers. Each of some fifty workers writes
  * about every 1.5 s, so that a long poll would return at once. */
@@ -142,7 +142,7 @@
 static void
 log_read_failed(struct cw_jobd *d, enum cw_status s, size_t bytes)
 {
-    if (d->operators_tries > 0 && bytes == 0) {
+    if (d->operators_failed++ > 0 && bytes == 0) {
         return;
     }
     cw_log(CW_WARN, "operators_read_failed",
@@ -153,6 +153,13 @@
            (unsigned long long)d->config.version);
 }
 
+/* The scheduler, which is in contact, has a newer configuration. */
+static bool
+is_behind(const struct cw_jobd *d, cw_ms now)
+{
+    return d->behind_since != 0 && cw_forward_confirmed(d, now);
+}
+
 /* Each key's newest record is read next. */
 static void
 load_operators(struct cw_jobd *d)
@@ -183,10 +190,12 @@
     }
     if (s != CW_OK) {
         log_read_failed(d, s, p == NULL ? 0 : p->bytes);
-        d->operators_tries++;
+        d->operators_tries =
+            is_behind(d, cw_jobd_now(d)) ? d->operators_tries + 1 : 0;
         d->operators_retry_at = cw_jobd_now(d) + OPERATORS_RETRY_MS;
         return;
     }
+    d->operators_failed = 0;
     d->operators_tries = 0;
     d->behind_since = 0;
     for (size_t i = 0; i < p->count; i++) {
@@ -242,20 +251,14 @@
     }
 }
 
-/* A time limit, doubled by each read that was not answered. */
 static cw_ms
-backed_off(const struct cw_jobd *d, cw_ms limit, cw_ms longest)
+backed_off(const struct cw_jobd *d, cw_ms limit)
 {
-    for (uint32_t i = 0; i < d->operators_tries && limit < longest; i++) {
+    for (uint32_t i = 0; i < d->operators_tries && limit < TIMEOUT_MAX_MS;
+         i++) {
         limit *= 2;
     }
-    return limit < longest ? limit : longest;
-}
-
-static cw_ms
-operators_timeout(const struct cw_jobd *d)
-{
-    return backed_off(d, OPERATORS_TIMEOUT_MS, OPERATORS_TIMEOUT_MAX_MS);
+    return limit < TIMEOUT_MAX_MS ? limit : TIMEOUT_MAX_MS;
 }
 
 void
@@ -285,9 +288,8 @@
                       ? d->behind_since
                       : d->operators_read_at;
 
-    if (d->behind_since != 0 && is_operators_read_idle(d) &&
-        now - since >=
-            backed_off(d, BEHIND_TIMEOUT_MS, BEHIND_TIMEOUT_MAX_MS)) {
+    if (is_behind(d, now) && is_operators_read_idle(d) &&
+        now - since >= backed_off(d, BEHIND_TIMEOUT_MS)) {
         cancel_operators_read(d);
         d->operators_tries++;
     }
@@ -320,7 +322,7 @@
     }
     return (proof_due || !cw_forward_confirmed(d, now)) &&
            now - d->operators_read_at >
-               OPERATORS_WAIT_MS + operators_timeout(d);
+               OPERATORS_WAIT_MS + backed_off(d, OPERATORS_TIMEOUT_MS);
 }
 
 void
@@ -345,7 +347,8 @@
     if (d->operators_loaded) {
         struct cw_store_read r = {
             CW_STREAM_OPERATORS, d->operators_next_offset,
-            d->operators_wait_ms, operators_timeout(d), &c->received};
+            d->operators_wait_ms, backed_off(d, OPERATORS_TIMEOUT_MS),
+            &c->received};
 
         d->ports.store.read(d->ports.ctx, &r, on_operator_records, c);
     }
@@ -353,10 +356,9 @@
         struct cw_str after = {d->operators_after_key.text,
                                d->operators_after_key.len};
 
-        d->ports.store.read_latest(
-            d->ports.ctx, CW_STREAM_OPERATORS, after,
-            backed_off(d, STORE_TIMEOUT_MS, LOAD_TIMEOUT_MAX_MS), &c->received,
-            on_operator_records, c);
+        d->ports.store.read_latest(d->ports.ctx, CW_STREAM_OPERATORS, after,
+                                   backed_off(d, STORE_TIMEOUT_MS),
+                                   &c->received, on_operator_records, c);
     }
 }
 
