Tests: reads that are cancelled, and a proof after missed versions

The rig has one now; the test still answers the cancelled read late, and asserts that the answer is not used.

test_proof: an answer that lacks the newest records is no proof, as before; the next read now loads the newest record of each key, and its answer is one. The test asserts that, too, before it goes on; none of its assertions left.

--- a/tests/jobd_rig.c
+++ b/tests/jobd_rig.c
@@ -80,6 +80,14 @@
         (struct rig_call){true, arg, NULL, {.page = done}};
 }
 
+/* The test still answers it, and the answer is not used. */
+static void
+cancel_read(void *ctx, const size_t *received)
+{
+    (void)ctx;
+    (void)received;
+}
+
 static void
 join(void *ctx, struct cw_str member, uint64_t generation, cw_ms ttl_ms,
      cw_store_join_done done, void *arg)
@@ -381,6 +389,7 @@
                                             .publish = publish,
                                             .read_latest = read_latest,
                                             .read = read_from,
+                                            .read_cancel = cancel_read,
                                             .join = join,
                                             .leave = leave,
                                             .get_owner = get_owner};
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -119,6 +119,7 @@
         answer(0, false);
     }
     rig_finish(&r);
+    cw_fleet_config_finish(&r.d.config);
     return 0;
 }
 
--- a/tests/test_jobd_tenants.c
+++ b/tests/test_jobd_tenants.c
@@ -322,6 +322,10 @@
     assert_int_equal(d->config_proof_at, sent);
     answer_read(next_read(), NULL, true);
     assert_int_equal(d->config_proof_at, sent);
+    rig_advance(&rig, 100);
+    sent = rig.clock.now;
+    answer_read(next_read(), NULL, false); /* the newest record of each key */
+    assert_int_equal(d->config_proof_at, sent);
     lost = next_read();
     rig_advance(&rig, 10 * CW_SECOND); /* the process was paused */
     answer_read(next_read(), NULL, false);
