Soak: an answer to a read holds at most maxKb

The stand-in of the store answered a read with all records that follow, the platform with 1,024 KB or one record. That is not a fault of the daemons, which cannot ask the stand-in for less.

--- a/standins/soak/soak_daemon.c
+++ b/standins/soak/soak_daemon.c
@@ -91,6 +91,7 @@
     ok = daemon_store_request(ctx, r, a);
     if (ok) {
         store_compacted_first(r, a);
+        store_limit_read(r, a);
     }
     if (late) {
         sleep_ms(900);
--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -33,3 +33,26 @@
 {
     put_large(topic, key, value);
 }
+
+/* As the platform does, an answer to a read holds at most maxKb, or one
+ * record; review/lib sends all that follow. */
+void
+store_limit_read(const struct req *r, struct answer *a)
+{
+    size_t most = (size_t)param_int(r->path, "maxKb", 1024) * 1024;
+    size_t at = 16;
+
+    if (strncmp(r->path, "/v1/log-read", 12) != 0 || a->status != 200 ||
+        a->json) {
+        return;
+    }
+    while (at + 4 <= a->len) {
+        size_t next = at + 4 + be32(a->body + at);
+
+        if (at > 16 && next > most) {
+            break;
+        }
+        at = next;
+    }
+    a->len = at < a->len ? at : a->len;
+}
--- a/standins/soak/trouble.h
+++ b/standins/soak/trouble.h
@@ -49,6 +49,8 @@
 /* Applies the compaction to a read. True when it has the answer. */
 bool store_compacted_read(struct req *r, struct answer *a);
 void store_compacted_first(const struct req *r, struct answer *a);
+/* Cuts the answer to a read as the platform does. */
+void store_limit_read(const struct req *r, struct answer *a);
 
 /* ---- daemons ---- */
 
