--- a/review/lib-2/rig.c
+++ b/review/lib-2/rig.c
@@ -184,7 +184,7 @@
         exit(2);
     }
     (void)snprintf(scratch, sizeof(scratch), "%s/review2-XXXXXX",
-                   tmp == NULL ? "/tmp" : tmp);
+                   tmp == NULL ? P_tmpdir : tmp);
     if (mkdtemp(scratch) == NULL) {
         printf("no temporary folder\n");
         exit(2);
@@ -205,20 +205,33 @@
 
 /* ---- daemons ---- */
 
+/* A free port below those that the system gives to clients, and in a range of
+ * this process, so that nobody takes it before the daemon listens. */
 static int
 free_port(void)
 {
-    struct sockaddr_in a = {.sin_family = AF_INET};
-    socklen_t len = sizeof(a);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    static int next;
 
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (fd < 0 || bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
-        getsockname(fd, (struct sockaddr *)&a, &len) != 0) {
-        rig_exit(2, "no free port");
+    for (int i = 0; i < 2000; i++) {
+        struct sockaddr_in a = {.sin_family = AF_INET};
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int port;
+        bool ok;
+
+        if (next == 0) {
+            next = 10240 + (int)(getpid() % 1280) * 16;
+        }
+        port = next++;
+        next = next >= 32000 ? 10240 : next;
+        a.sin_port = htons((uint16_t)port);
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ok = fd >= 0 && bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+        close(fd);
+        if (ok) {
+            return port;
+        }
     }
-    close(fd);
-    return ntohs(a.sin_port);
+    rig_exit(2, "no free port");
 }
 
 static void
