--- a/review/8/case.c
+++ b/review/8/case.c
@@ -10,121 +10,6 @@
 #define CALM_MS 6000     /* before the wave */
 #define AGE_MS 400       /* the new machine is so old when the wave is due */
 #define DURATION_S 26    /* of the wave, as in the site file's list */
-#define UPKEEP_MS 2000   /* upkeepS */
-#define MACHINES_MAX 32
-
-/* ---- the machines' control ---- */
-
-struct machine {
-    char name[32];
-    struct runner *runner; /* the one that it has, or had last */
-    const char *state;
-    long long wave; /* of its upkeep, 0: none has begun */
-    ms_t upkeep_at;
-};
-
-static struct machine machines[MACHINES_MAX];
-static int machine_count;
-static int lists_served;
-static ms_t list_served_at;
-
-static void
-machine_add(struct runner *w)
-{
-    struct machine *m = &machines[machine_count++];
-
-    (void)snprintf(m->name, sizeof(m->name), "%s", w->machine);
-    m->runner = w;
-    m->state = "up";
-}
-
-static void
-serve_list(struct req *r)
-{
-    json_t *rows = json_array();
-
-    for (int i = 0; i < machine_count; i++) {
-        const struct machine *m = &machines[i];
-        const struct runner *w = m->runner;
-        json_t *row = json_pack(
-            "{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I}}", "machine", m->name,
-            "pool", w->service, "state", m->state, "zone", "z-a", "labels",
-            w->kind, w->rack, "capacity", "cpu", (json_int_t)w->cpu, "memMb",
-            (json_int_t)w->mem);
-
-        if (strcmp(m->state, "up") == 0) {
-            json_object_set_new(row, "id", json_string(w->id));
-        }
-        json_array_append_new(rows, row);
-    }
-    answer_json(r, 200, json_pack("{s:o}", "machines", rows), now_ms());
-    lists_served++;
-    list_served_at = now_ms();
-}
-
-static void
-end_upkeep(void *arg)
-{
-    struct machine *m = arg;
-    const struct runner *w = m->runner;
-
-    m->runner = runner_join(w->service, w->kind, w->rack, w->cpu, w->mem,
-                            m->name);
-    m->state = "up";
-}
-
-static void
-serve_upkeep(struct req *r)
-{
-    json_t *o = json_loadb(r->body, r->body_len, 0, NULL);
-    const char *name = json_string_value(json_object_get(o, "machine"));
-    long long wave = json_integer_value(json_object_get(o, "wave"));
-    struct machine *m = NULL;
-    const char *reason = "busy";
-
-    for (int i = 0; i < machine_count && name != NULL; i++) {
-        if (strcmp(machines[i].name, name) == 0) {
-            m = &machines[i];
-        }
-    }
-    rec("upkeep of %s, wave %lld, is ordered", name == NULL ? "?" : name,
-        wave);
-    json_decref(o);
-    if (m == NULL) {
-        answer_json(r, 400, json_object(), now_ms());
-    }
-    else if (m->wave == wave) {
-        answer_json(r, 200, json_object(), now_ms());
-    }
-    else if (strcmp(m->state, "up") != 0) {
-        answer_json(r, 409, json_pack("{s:s}", "reason", reason), now_ms());
-    }
-    else {
-        m->wave = wave;
-        m->upkeep_at = now_ms();
-        m->state = "upkeep";
-        runner_crash(m->runner);
-        later(now_ms() + UPKEEP_MS, end_upkeep, m);
-        answer_json(r, 200, json_object(), now_ms());
-    }
-}
-
-static void
-serve_cloud(void *ctx, struct req *r)
-{
-    (void)ctx;
-    if (strcmp(r->method, "GET") == 0 &&
-        strncmp(r->path, "/v1/machines", 12) == 0) {
-        serve_list(r);
-    }
-    else if (strcmp(r->path, "/v1/machine-upkeep") == 0) {
-        serve_upkeep(r);
-    }
-    else {
-        /* There is one pool: no machine can move. */
-        answer_json(r, 400, json_object(), now_ms());
-    }
-}
 
 /* ---- the scenario ---- */
 
@@ -136,8 +21,8 @@
     ms_t until = now_ms() + 5000;
 
     pthread_mutex_lock(&rig_lock);
-    seen = lists_served;
-    while (lists_served == seen) {
+    seen = cloud_lists;
+    while (cloud_lists == seen) {
         pthread_mutex_unlock(&rig_lock);
         if (now_ms() > until) {
             rig_exit(2, "no daemon asks for the machines");
@@ -179,9 +64,9 @@
         char rack[16];
 
         (void)snprintf(rack, sizeof(rack), "r1-%d", i / 4);
-        machine_add(runner_add("pricing", "a", rack, 16000, 32768));
+        (void)cloud_add(runner_add("pricing", "a", rack, 16000, 32768));
     }
-    cloud_port = serve(serve_cloud, NULL);
+    cloud_begin(NULL);
     pthread_mutex_unlock(&rig_lock);
     config_service("pricing", true, false);
     config_queue("r-quick", "/quick/", "pricing", 0, 3);
@@ -191,7 +76,7 @@
     if (!trouble()) {
         /* It is there from the beginning. */
         pthread_mutex_lock(&rig_lock);
-        machine_add(runner_join("pricing", "a", "r1-2", 16000, 32768, NULL));
+        (void)cloud_add(runner_join("pricing", "a", "r1-2", 16000, 32768, NULL));
         pthread_mutex_unlock(&rig_lock);
     }
     sleep_ms(CALM_MS);
@@ -199,7 +84,7 @@
     sleep_ms(50);
     if (trouble()) {
         pthread_mutex_lock(&rig_lock);
-        machine_add(runner_join("pricing", "a", "r1-2", 16000, 32768, NULL));
+        (void)cloud_add(runner_join("pricing", "a", "r1-2", 16000, 32768, NULL));
         pthread_mutex_unlock(&rig_lock);
     }
     sleep_ms(AGE_MS);
@@ -208,7 +93,7 @@
     ordered_at = now_ms();
     rec("the operator writes wave 1 of the machine %s, %lld ms after the last "
         "answer with the list of machines",
-        m->name, ordered_at - list_served_at);
+        m->name, ordered_at - cloud_listed_at);
     (void)snprintf(text, sizeof(text),
                    "{\"wave\":1,\"machines\":[\"%s\"],\"durationS\":%d,"
                    "\"maxCount\":1}",
--- a/review/lib-2/rig2.h
+++ b/review/lib-2/rig2.h
@@ -145,7 +145,7 @@
 extern struct run_log *run_log;
 extern int run_log_count;
 
-#define RUNNERS_MAX 64
+#define RUNNERS_MAX 512
 extern struct runner *runners[RUNNERS_MAX];
 extern int runner_count;
 struct runner *runner_add(const char *service, const char *kind,
@@ -160,6 +160,27 @@
 /* Tells the stand-ins what a client is about to submit. */
 void job_register(const char *id, const char *body);
 
+/* ---- the machines' control ---- */
+
+#define MACHINES_MAX 64
+struct machine {
+    char name[32], pool[32], kind[16], rack[16];
+    long cpu, mem;
+    struct runner *runner; /* NULL: off, or it moves */
+    const char *state;
+    long long wave; /* of its last upkeep, 0: none has begun */
+    long long fence;
+};
+extern struct machine machines[MACHINES_MAX];
+extern int machine_count;
+extern int cloud_lists; /* answered */
+extern ms_t cloud_listed_at;
+/* spare: the pool whose machines are off, or NULL. Before daemons_start. */
+void cloud_begin(const char *spare);
+struct machine *cloud_add(struct runner *w);
+struct machine *cloud_add_off(const char *name, const char *kind,
+                              const char *rack, long cpu, long mem);
+
 /* ---- daemons ---- */
 
 /* Where the daemons reach the machines' control (`cloudApi`); 0: it is not in
